--- /dev/null
+++ b/decision/src/gateway.rs
@@ -0,0 +1,19 @@
+//! Decisions for requests that pass through unread: routes, keys, limits, replicas over hosts.
+//!
+//! | question | machine |
+//! | --- | --- |
+//! | Which service does a request go to, for whom? | [`route::Table`] |
+//! | Which instances are known, and which replicas do they form? | [`fleet::Fleet`] |
+//! | Which replica or plain target gets it, or is it refused? | [`balance::Balance`] |
+//! | May it be sent once more? | [`budget::Budget`] |
+//! | May a cold target get it? | [`warmup::Limiter`] |
+//! | What is to be formed, healed, staged? | [`formation::Formation`] |
+
+pub mod balance;
+pub mod budget;
+pub mod config;
+pub mod engine;
+pub mod fleet;
+pub mod formation;
+pub mod route;
+pub mod warmup;
--- /dev/null
+++ b/decision/src/gateway/balance.rs
@@ -0,0 +1,522 @@
+//! Which target gets a request: the one whose first token is expected first.
+//!
+//! An entry counts what it has in progress on each target and adds what its peers told last. A
+//! target whose streams are all silent is suspect: new work keeps off, and one trial after a
+//! pause shows whether it answers again.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::RngExt as _;
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::SeedableRng;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::gateway::engine::Engine;
+use crate::gateway::warmup::Limiter;
+use crate::prelude::*;
+
+new_key_type! {
+    /// A target that a [`Balance`] knows.
+    pub struct Key;
+}
+
+/// Part of the old value that a failure score keeps at each outcome.
+const SCORE_KEEP: f64 = 0.8;
+
+/// Cost of a target that fails every request, as a multiple of one that fails none.
+const FAILURE_FACTOR: f64 = 20.0;
+
+/// Time after which a peer's word about its load is void, since the peer may be gone.
+const PEER_AGE: Duration = Duration::from_secs(2);
+
+/// How targets are chosen.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The failure domain that this entry runs in.
+    pub failure_domain: Arc<str>,
+    /// What a target in another failure domain costs more, in milliseconds.
+    pub far_ms: f64,
+    /// Targets that are compared for one request.
+    pub compared: usize,
+    /// Pause before the first trial of a suspect target. Doubles with each failed trial.
+    pub trial: Duration,
+    /// Longest pause before a trial.
+    pub trial_limit: Duration,
+    /// Silence that makes a target suspect, beyond what its load explains.
+    pub silence: Duration,
+    /// Silence that makes a target suspect that has not begun to write, beyond its load.
+    pub first: Duration,
+    /// Requests beyond a replica's slots that may wait at it, over all entries.
+    pub backlog: u32,
+    /// Seed of the random choices.
+    pub seed: u64,
+}
+
+/// A target as the list shows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    /// Identifier of the instance that requests go to.
+    pub id: Arc<str>,
+    /// Identifies this start of it, and its replica's epoch.
+    pub life: (u64, u64),
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// The model that it serves, if it is a replica.
+    pub model: Option<Arc<str>>,
+    /// Factor on its times.
+    pub pace: f64,
+    /// Identifiers of all its instances.
+    pub members: Vec<Arc<str>>,
+}
+
+/// What a request asks for.
+#[derive(Clone, Debug, Default)]
+pub struct Ask {
+    /// The model, if the request names one.
+    pub model: Option<Arc<str>>,
+    /// Tokens of its prompt.
+    pub prompt: u64,
+    /// Time until its first token is late.
+    pub objective: Duration,
+    /// Targets that it was sent to already.
+    pub avoid: Vec<Key>,
+    /// The most urgent of requests are placed also where others have to wait.
+    pub urgent: bool,
+}
+
+/// What becomes of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Choice {
+    /// It is sent to this target.
+    Send(Key),
+    /// All targets are busy; one is free after about this time.
+    Busy(Duration),
+    /// There is no target that could run it.
+    None,
+}
+
+/// How an attempt on a target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It answered, with whatever status.
+    Answered,
+    /// It refused and did not run the request.
+    Refused,
+    /// It broke off, was silent, or couldn't be reached.
+    Failed,
+    /// The caller left.
+    Left,
+}
+
+/// The load of one target at one entry, as it is told to peers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests in progress.
+    pub running: u32,
+    /// Prompt tokens of those that have no token yet.
+    pub prefill: u32,
+}
+
+/// All targets of an entry.
+#[derive(Debug)]
+pub struct Balance {
+    settings: Settings,
+    pools: HashMap<Arc<str>, Pool>,
+    tracks: SlotMap<Key, Track>,
+    random: Pcg64Mcg,
+    entries: usize,
+}
+
+#[derive(Debug, Default)]
+struct Pool {
+    engine: Engine,
+    warmup_rate: f64,
+    keys: Vec<Key>,
+}
+
+#[derive(Debug)]
+struct Track {
+    target: Target,
+    service: Arc<str>,
+    listed: bool,
+    cold_until: Time,
+    own: Load,
+    peers: HashMap<u64, (Time, Load)>,
+    limiter: Limiter,
+    failures: f64,
+    heard: Time,
+    /// Whether an event has come since it last had nothing to do.
+    writing: bool,
+    suspect: Option<Suspect>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Suspect {
+    trial_at: Time,
+    pause: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            failure_domain: "".into(),
+            far_ms: 8.0,
+            compared: 4,
+            trial: Duration::from_millis(500),
+            trial_limit: Duration::from_secs(2),
+            silence: Duration::from_millis(60),
+            first: Duration::from_millis(120),
+            backlog: 2,
+            seed: 0,
+        }
+    }
+}
+
+impl Balance {
+    /// No targets yet.
+    pub fn new(settings: Settings) -> Balance {
+        Balance {
+            random: Pcg64Mcg::seed_from_u64(settings.seed),
+            pools: HashMap::new(),
+            tracks: SlotMap::with_key(),
+            entries: 1,
+            settings,
+        }
+    }
+
+    /// Takes the number of entries that share the limits of cold targets.
+    pub fn entries(&mut self, count: usize) {
+        self.entries = count.max(1);
+    }
+
+    /// Replaces the targets of `service`; each comes with the time for which it is still cold.
+    pub fn update(
+        &mut self,
+        now: Time,
+        service: &Arc<str>,
+        engine: Option<&Engine>,
+        warmup_rate: f64,
+        targets: impl IntoIterator<Item = (Target, Duration)>,
+    ) {
+        let mut pool = self.pools.remove(service).unwrap_or_default();
+        pool.engine = engine.cloned().unwrap_or_default();
+        pool.warmup_rate = warmup_rate;
+        let mut known: HashMap<(Arc<str>, (u64, u64)), Key> = HashMap::new();
+        for key in pool.keys.drain(..) {
+            let Some(track) = self.tracks.get_mut(key) else { continue };
+            track.listed = false;
+            known.insert((track.target.id.clone(), track.target.life), key);
+        }
+        for (target, cold) in targets {
+            let cold_until = now + cold;
+            let key = known.remove(&(target.id.clone(), target.life));
+            let key = match key.and_then(|key| Some((key, self.tracks.get_mut(key)?))) {
+                Some((key, track)) => {
+                    track.target = target;
+                    track.listed = true;
+                    track.cold_until = track.cold_until.max(cold_until);
+                    key
+                }
+                None => self.tracks.insert(Track::new(now, service.clone(), target, cold_until)),
+            };
+            pool.keys.push(key);
+        }
+        for key in known.into_values() {
+            self.drop_idle(key);
+        }
+        self.pools.insert(service.clone(), pool);
+    }
+
+    /// Drops the targets of services other than `services`.
+    pub fn retain(&mut self, services: &[Arc<str>]) {
+        let gone = self.pools.extract_if(|name, _| !services.contains(name));
+        let keys: Vec<Key> = gone.flat_map(|(_, pool)| pool.keys).collect();
+        for key in keys {
+            if let Some(track) = self.tracks.get_mut(key) {
+                track.listed = false;
+            }
+            self.drop_idle(key);
+        }
+    }
+
+    fn drop_idle(&mut self, key: Key) {
+        let idle = self.tracks.get(key).is_some_and(|it| !it.listed && it.own.running == 0);
+        if idle {
+            self.tracks.remove(key);
+        }
+    }
+
+    /// The target called `key`, also after it left the list while it has work.
+    pub fn target(&self, key: Key) -> Option<&Target> {
+        self.tracks.get(key).map(|it| &it.target)
+    }
+
+    /// Whether the target is still listed.
+    pub fn is_listed(&self, key: Key) -> bool {
+        self.tracks.get(key).is_some_and(|it| it.listed)
+    }
+
+    /// Whether `service` has a target that isn't suspect.
+    pub fn is_served(&self, service: &str) -> bool {
+        let keys = self.pools.get(service).map(|it| it.keys.as_slice()).unwrap_or_default();
+        keys.iter().any(|it| self.tracks.get(*it).is_some_and(|it| it.suspect.is_none()))
+    }
+
+    /// Picks a target for a request to `service` and counts it there.
+    pub fn choose(&mut self, now: Time, service: &str, ask: &Ask) -> Choice {
+        let Some(pool) = self.pools.get(service) else { return Choice::None };
+        let mut open: Vec<(Key, f64)> = Vec::with_capacity(pool.keys.len());
+        let mut soonest = f64::INFINITY;
+        let mut some = false;
+        for key in &pool.keys {
+            let Some(track) = self.tracks.get_mut(*key) else { continue };
+            if !track.serves(ask) || ask.avoid.contains(key) {
+                continue;
+            }
+            some = true;
+            let cold = track.cold_until > now;
+            if cold && !track.limiter.has_room(now, pool.warmup_rate, self.entries) {
+                soonest = soonest.min(100.0);
+                continue;
+            }
+            if !track.may_try(now) {
+                soonest = soonest.min(200.0);
+                continue;
+            }
+            let estimate = track.estimate(now, &pool.engine, &self.settings, ask);
+            let late = estimate.first_ms > ask.objective.as_secs_f64() * 1_000.0;
+            if !ask.urgent && (estimate.excess > self.settings.backlog || late && estimate.full) {
+                soonest = soonest.min(estimate.slot_ms);
+                continue;
+            }
+            open.push((*key, estimate.cost));
+        }
+        let Some(key) = self.best(open) else {
+            return match some {
+                true => Choice::Busy(Duration::from_secs_f64(soonest.min(5_000.0) / 1_000.0)),
+                false => Choice::None,
+            };
+        };
+        self.begin(now, key, ask);
+        Choice::Send(key)
+    }
+
+    /// The cheapest of a few picked at random, so that entries don't all pick the same.
+    fn best(&mut self, mut open: Vec<(Key, f64)>) -> Option<Key> {
+        let compared = self.settings.compared.min(open.len());
+        for place in 0..compared {
+            let other = self.random.random_range(place..open.len());
+            open.swap(place, other);
+        }
+        let sample = open.into_iter().take(compared);
+        sample.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(key, _)| key)
+    }
+
+    fn begin(&mut self, now: Time, key: Key, ask: &Ask) {
+        let trial_limit = self.settings.trial_limit;
+        let Some(track) = self.tracks.get_mut(key) else { return };
+        if track.own.running == 0 {
+            track.heard = now;
+            track.writing = false;
+        }
+        track.own.running += 1;
+        track.own.prefill = track.own.prefill.saturating_add(small(ask.prompt));
+        track.limiter.sent(now);
+        if let Some(suspect) = &mut track.suspect {
+            suspect.pause = (suspect.pause * 2).min(trial_limit);
+            suspect.trial_at = now + suspect.pause;
+        }
+    }
+
+    /// Notes that the target has read `prompt` tokens: its first token for a request came.
+    pub fn first(&mut self, key: Key, prompt: u64) {
+        if let Some(track) = self.tracks.get_mut(key) {
+            track.own.prefill = track.own.prefill.saturating_sub(small(prompt));
+        }
+    }
+
+    /// Notes a sign of life of the target.
+    pub fn hear(&mut self, now: Time, key: Key) {
+        if let Some(track) = self.tracks.get_mut(key) {
+            track.heard = now;
+            track.writing = true;
+            track.suspect = None;
+        }
+    }
+
+    /// Notes the end of an attempt. `prompt` is what [`Balance::first`] was not told of.
+    pub fn end(&mut self, now: Time, key: Key, prompt: u64, end: End) {
+        let trial = self.settings.trial;
+        let Some(track) = self.tracks.get_mut(key) else { return };
+        track.own.running = track.own.running.saturating_sub(1);
+        track.own.prefill = track.own.prefill.saturating_sub(small(prompt));
+        let sample = match end {
+            End::Answered => 0.0,
+            End::Refused => 0.5,
+            End::Failed => 1.0,
+            End::Left => track.failures,
+        };
+        track.failures = track.failures * SCORE_KEEP + sample * (1.0 - SCORE_KEEP);
+        if end == End::Answered {
+            track.suspect = None;
+        }
+        let replica = track.target.model.is_some();
+        if replica && matches!(end, End::Failed | End::Refused) && track.suspect.is_none() {
+            track.suspect = Some(Suspect { trial_at: now + trial, pause: trial });
+        }
+        self.drop_idle(key);
+    }
+
+    /// Until when the target may stay silent before it is suspect.
+    ///
+    /// While it writes, an event comes with each pass. Before its first token, it reads the
+    /// prompts of all that wait, and the first event takes a whole pass after that.
+    pub fn silence_limit(&self, now: Time, key: Key) -> Time {
+        let Some(track) = self.tracks.get(key) else { return now };
+        let Some(pool) = self.pools.get(&track.service) else { return now };
+        let load = track.load(now);
+        let passes = if track.writing { 1.0 } else { 2.0 };
+        let pass = pool.engine.pass_ms(track.target.pace, load.running) * passes;
+        let prefill = pool.engine.prefill_ms(track.target.pace, u64::from(load.prefill));
+        let slack = if track.writing { self.settings.silence } else { self.settings.first };
+        track.heard + slack + Duration::from_secs_f64((pass + prefill) / 1_000.0)
+    }
+
+    /// Makes a target suspect that was silent for too long. Returns whether it is suspect.
+    pub fn check_silence(&mut self, now: Time, key: Key) -> bool {
+        if now < self.silence_limit(now, key) {
+            return false;
+        }
+        self.suspect(now, key);
+        true
+    }
+
+    /// Makes a target suspect.
+    pub fn suspect(&mut self, now: Time, key: Key) {
+        let trial = self.settings.trial;
+        let Some(track) = self.tracks.get_mut(key) else { return };
+        track.suspect.get_or_insert(Suspect { trial_at: now + trial, pause: trial });
+    }
+
+    /// The targets that are suspect.
+    pub fn suspects(&self) -> impl Iterator<Item = &Target> {
+        let suspects = self.tracks.values().filter(|it| it.listed && it.suspect.is_some());
+        suspects.map(|it| &it.target)
+    }
+
+    /// The listed targets.
+    pub fn targets(&self) -> impl Iterator<Item = (&Target, Load)> {
+        self.tracks.values().filter(|it| it.listed).map(|it| (&it.target, it.own))
+    }
+
+    /// Takes what the peer `from` has in progress. Targets that it doesn't name have nothing.
+    pub fn hear_peer(&mut self, now: Time, from: u64, loads: &HashMap<u64, Load>) {
+        for track in self.tracks.values_mut().filter(|it| it.listed) {
+            match loads.get(&track.hash()) {
+                Some(load) => drop(track.peers.insert(from, (now, *load))),
+                None => drop(track.peers.remove(&from)),
+            }
+        }
+    }
+
+    /// What this entry has in progress, by the hash of the target.
+    pub fn loads(&self) -> Vec<(u64, Load)> {
+        let busy = self.tracks.values().filter(|it| it.own.running > 0);
+        busy.map(|it| (it.hash(), it.own)).collect()
+    }
+}
+
+/// What is expected of a target for one request.
+struct Estimate {
+    /// Milliseconds to the first token.
+    first_ms: f64,
+    /// The same, made worse by distance and failures.
+    cost: f64,
+    /// Requests beyond the slots, this one included.
+    excess: u32,
+    /// Whether all slots are taken.
+    full: bool,
+    /// Milliseconds until a slot is free.
+    slot_ms: f64,
+}
+
+impl Track {
+    fn new(now: Time, service: Arc<str>, target: Target, cold_until: Time) -> Track {
+        Track {
+            target,
+            service,
+            listed: true,
+            cold_until,
+            own: Load::default(),
+            peers: HashMap::new(),
+            limiter: Limiter::default(),
+            failures: 0.0,
+            heard: now,
+            writing: false,
+            suspect: None,
+        }
+    }
+
+    fn serves(&self, ask: &Ask) -> bool {
+        ask.model.is_none() || ask.model == self.target.model
+    }
+
+    fn may_try(&self, now: Time) -> bool {
+        self.suspect.is_none_or(|it| it.trial_at <= now)
+    }
+
+    fn hash(&self) -> u64 {
+        hash(&self.target.id)
+    }
+
+    /// What all entries have in progress.
+    fn load(&self, now: Time) -> Load {
+        let mut sum = self.own;
+        let peers = self.peers.values().filter(|(at, _)| now.since(*at) < PEER_AGE);
+        for (_, load) in peers {
+            sum.running += load.running;
+            sum.prefill = sum.prefill.saturating_add(load.prefill);
+        }
+        sum
+    }
+
+    fn estimate(&self, now: Time, engine: &Engine, settings: &Settings, ask: &Ask) -> Estimate {
+        let load = self.load(now);
+        let running = load.running + 1;
+        let slots = self.target.slots.max(1);
+        let pass = engine.pass_ms(self.target.pace, running);
+        let prefill = engine.prefill_ms(self.target.pace, u64::from(load.prefill) + ask.prompt);
+        let excess = running.saturating_sub(slots);
+        let turn = pass * MEAN_PASSES / f64::from(slots);
+        let slot_ms = turn * f64::from(excess);
+        let first_ms = pass * 1.5 + prefill + slot_ms;
+        let far = match self.target.failure_domain == settings.failure_domain {
+            true => 0.0,
+            false => settings.far_ms,
+        };
+        let plain = f64::from(load.running) / f64::from(slots) * PLAIN_MS;
+        let cost = (first_ms + plain + far) * (1.0 + FAILURE_FACTOR * self.failures.powi(2));
+        Estimate { first_ms, cost, excess, full: excess > 0, slot_ms: slot_ms.max(pass) }
+    }
+}
+
+/// Passes that a request of usual length takes.
+const MEAN_PASSES: f64 = 25.0;
+
+/// Milliseconds that a full plain target adds to a request.
+const PLAIN_MS: f64 = 30.0;
+
+/// The hash by which peers name a target.
+pub fn hash(id: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes())
+}
+
+fn small(tokens: u64) -> u32 {
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/decision/src/gateway/engine.rs
@@ -0,0 +1,68 @@
+//! The cost model of an engine: what a request costs and how long its first token takes.
+
+use std::sync::Arc;
+
+use crate::prelude::*;
+
+/// What a service's engine can do. Times are those of a replica whose pace is 1.
+#[derive(Clone, Debug, Default)]
+pub struct Engine {
+    /// Requests that one replica runs at once.
+    pub slots: u32,
+    /// Tokens that fit into a replica's memory.
+    pub kv_tokens: u64,
+    /// Time of one token step, in milliseconds.
+    pub step_ms: f64,
+    /// Time that each running request adds to a step, in milliseconds.
+    pub sequence_ms: f64,
+    /// Steps of a pass that writes.
+    pub stride: u32,
+    /// Prompt tokens read in a second.
+    pub prefill_rate: f64,
+    /// Weight loads that the weight store serves at full speed.
+    pub parallel_loads: u32,
+    /// Weight loads that may begin in a second.
+    pub load_rate: f64,
+    /// Time from an order to serve until a replica serves.
+    pub open: Duration,
+    /// The models that share the instances.
+    pub models: Vec<Model>,
+}
+
+/// A model that instances can form replicas of.
+#[derive(Clone, Debug)]
+pub struct Model {
+    /// Name of the model.
+    pub name: Arc<str>,
+    /// Instances of one replica.
+    pub size: usize,
+    /// The model's share of the work at the start.
+    pub share: f64,
+    /// Factor on all times of its replicas.
+    pub pace: f64,
+    /// Time to load its weights from the weight store.
+    pub load: Duration,
+    /// Time to load its weights from the host's memory.
+    pub warm: Duration,
+}
+
+impl Engine {
+    /// The model called `name`.
+    pub fn model(&self, name: &str) -> Option<&Model> {
+        self.models.iter().find(|it| &*it.name == name)
+    }
+
+    /// Milliseconds between two events of a stream while `running` requests run.
+    pub fn pass_ms(&self, pace: f64, running: u32) -> f64 {
+        let step = self.step_ms + self.sequence_ms * f64::from(running.min(self.slots));
+        step * f64::from(self.stride.max(1)) * pace
+    }
+
+    /// Milliseconds to read `tokens` prompt tokens.
+    pub fn prefill_ms(&self, pace: f64, tokens: u64) -> f64 {
+        match self.prefill_rate > 0.0 {
+            true => tokens as f64 / self.prefill_rate * 1_000.0 * pace,
+            false => 0.0,
+        }
+    }
+}
--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -12,6 +12,7 @@
 //! | May a request with a key run? | [`claimant::Claimant`] | [`claim`], [`commit`] |
 //! | What must a fabric domain's owner do? | [`owner::Owner`] | [`fabric`], [`lease`], [`lifecycle`], [`reconcile`], [`order`], [`probe`] |
 //! | Which replicas may serve? | [`evidence::Evidence`] | [`report`], [`target`] |
+//! | What becomes of a request that passes through unread? | [`gateway`] | [`gateway::route`], [`gateway::balance`], [`gateway::formation`] |
 //! | What is to run where? | [`placement::plan`] | [`survey`] |
 
 pub mod attempt;
@@ -31,6 +32,7 @@
 pub mod fabric;
 pub mod freshness;
 pub mod gate;
+pub mod gateway;
 pub mod gossip;
 pub mod handover;
 pub mod head;
--- /dev/null
+++ b/gateway/src/owner.rs
@@ -0,0 +1,347 @@
+//! Owns the replicas: one entry at a time plans them and gives orders to the instances.
+//!
+//! The lease is one object of the store. It is written when an entry takes over, with the next
+//! fencing token, and not renewed: peers see by datagrams whether its holder lives, and
+//! instances refuse the orders of an earlier holder.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use decision::gateway::balance::hash;
+use decision::gateway::fleet::Instance;
+use decision::gateway::formation::{self, Action, Formation, Order};
+use decision::prelude::*;
+use http::StatusCode;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+use crate::error::Call;
+use crate::journal::Event;
+use crate::port::{Kind, Lease, Object, Platform, Taken, When, Write};
+use crate::state::Shared;
+
+/// Name of the lease.
+const LEASE: &str = "replicas";
+
+/// Pause between two plans without news.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time without an owner after which the first candidate takes over.
+const VACANT: Duration = Duration::from_millis(500);
+
+/// Time by which each further candidate waits longer.
+const VACANT_STEP: Duration = Duration::from_millis(700);
+
+/// Time by which an entry waits longer that hears less than half of the others.
+const MINORITY: Duration = Duration::from_secs(4);
+
+/// Age of the own list of instances from which on a peer with a newer one had better own them.
+const STALE: Duration = Duration::from_millis(2_500);
+
+/// Longest time for an order or a question to an instance.
+const ORDER: Duration = Duration::from_millis(900);
+
+/// Longest time for a question whether an instance lives.
+const PROBE: Duration = Duration::from_millis(250);
+
+/// Pause between two questions to one instance.
+const PROBE_PAUSE: Duration = Duration::from_millis(400);
+
+/// Questions without an answer after which an instance counts as lost.
+const MISSES: u32 = 2;
+
+/// Longest time for a call to the store.
+const STORE: Duration = Duration::from_secs(1);
+
+/// Longest answer of an instance or of the store, in bytes.
+const MAX_ANSWER: usize = 1 << 20;
+
+/// What came of a call to an instance.
+enum Result {
+    Order { id: Arc<str>, born: u64, order: Order, taken: Option<Taken>, connected: bool },
+    Probe { id: Arc<str>, born: u64, alive: bool },
+}
+
+struct Owner<P> {
+    shared: Arc<Shared<P>>,
+    life: u64,
+    fence: Option<u64>,
+    formations: HashMap<Arc<str>, Formation>,
+    vacant_since: Time,
+    probes: HashMap<Arc<str>, Probe>,
+    results: mpsc::Sender<Result>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Probe {
+    at: Time,
+    misses: u32,
+}
+
+/// Takes part in the ownership until the process ends.
+pub async fn run<P: Platform>(shared: Arc<Shared<P>>, life: u64) {
+    let (results, mut receiver) = mpsc::channel(1_024);
+    let vacant_since = shared.now();
+    let mut owner = Owner {
+        shared: shared.clone(),
+        life,
+        fence: None,
+        formations: HashMap::new(),
+        vacant_since,
+        probes: HashMap::new(),
+        results,
+    };
+    loop {
+        let changed = shared.changed.notified();
+        tokio::select! {
+            Some(result) = receiver.recv() => owner.take(result),
+            _ = timeout(TICK, changed) => {}
+        }
+        while let Ok(result) = receiver.try_recv() {
+            owner.take(result);
+        }
+        owner.turn().await;
+        // Gathers news that come together.
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+impl<P: Platform> Owner<P> {
+    async fn turn(&mut self) {
+        let now = self.shared.now();
+        let other = self.shared.peers.owner(now);
+        match (self.fence, other) {
+            (Some(own), Some(other)) if other > own => self.give_up("a later owner was heard"),
+            (Some(_), _) if self.is_stale(now) => self.give_up("a peer knows the instances better"),
+            (Some(_), _) if self.is_stopping() => self.give_up("the process stops"),
+            (Some(_), _) => self.plan(now),
+            (None, Some(_)) => self.vacant_since = now,
+            (None, None) if self.may_take(now) => self.acquire().await,
+            (None, None) => {}
+        }
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.shared.stopping.load(std::sync::atomic::Ordering::Relaxed)
+    }
+
+    fn is_stale(&self, now: Time) -> bool {
+        let own = self.shared.knowledge().fleet_at.map(|it| now.since(it));
+        let wait = crate::follow::LONG_WAIT;
+        let peers = self.shared.peers.freshest(now);
+        match (own, peers) {
+            (Some(own), Some(peers)) => own > wait + STALE && peers < wait,
+            _ => false,
+        }
+    }
+
+    fn may_take(&self, now: Time) -> bool {
+        let knowledge = self.shared.knowledge();
+        let known = knowledge.fleet_at.is_some() && knowledge.table.version() > 0;
+        let entries = knowledge.entries.len();
+        drop(knowledge);
+        if !known || self.is_stopping() || !self.shared.is_store_up() {
+            return false;
+        }
+        let alive = self.shared.peers.alive(now);
+        let own = &self.shared.settings.instance;
+        let before = alive.iter().filter(|it| *it < own).count() as u32;
+        let mut wait = VACANT + VACANT_STEP * before;
+        if (alive.len() + 1) * 2 < entries {
+            wait += MINORITY;
+        }
+        now.since(self.vacant_since) >= wait
+    }
+
+    /// Takes the lease, if nobody else does at the same time.
+    async fn acquire(&mut self) {
+        self.vacant_since = self.shared.now();
+        let store = self.shared.settings.store;
+        let platform = &self.shared.platform;
+        let list = platform.list(store, Kind::Leases, None);
+        let Ok(answer) = self.shared.store.call(store, list, STORE, MAX_ANSWER).await else {
+            return;
+        };
+        if !answer.status().is_success() {
+            return;
+        }
+        let Ok(page) = platform.page(Kind::Leases, answer.body()) else { return };
+        let held = page.items.into_iter().find(|it| &*it.name == LEASE);
+        let (when, fence) = match &held {
+            Some(item) => match &item.object {
+                Object::Lease(lease) if lease.life == self.life => {
+                    return self.won(lease.fence);
+                }
+                Object::Lease(lease) => (When::Revision(item.revision), lease.fence + 1),
+                _ => (When::Revision(item.revision), item.revision),
+            },
+            None => (When::Absent, 1),
+        };
+        let lease =
+            Lease { holder: self.shared.settings.instance.clone(), life: self.life, fence };
+        let Ok(value) = serde_json::to_value(&lease) else { return };
+        let write = Write { kind: Kind::Leases, name: LEASE, when, value };
+        let put = platform.put(store, &write);
+        // Without an answer, the next turn reads who holds it.
+        if let Ok(answer) = self.shared.store.call(store, put, STORE, MAX_ANSWER).await
+            && answer.status().is_success()
+        {
+            self.won(fence);
+        }
+    }
+
+    fn won(&mut self, fence: u64) {
+        self.fence = Some(fence);
+        self.formations.clear();
+        self.probes.clear();
+        self.shared.peers.own(self.fence);
+        self.shared.journal.note(&Event::Won { fence });
+    }
+
+    fn give_up(&mut self, reason: &str) {
+        let Some(fence) = self.fence.take() else { return };
+        self.vacant_since = self.shared.now();
+        self.formations.clear();
+        self.shared.peers.own(None);
+        self.shared.journal.note(&Event::Yielded { fence, reason });
+    }
+
+    /// Plans all services and gives the orders.
+    fn plan(&mut self, now: Time) {
+        let Some(fence) = self.fence else { return };
+        self.probe_suspects(now);
+        let (table, instances) = {
+            let mut knowledge = self.shared.knowledge();
+            knowledge.fleet.expire(now);
+            let instances: Vec<Arc<Instance>> = knowledge.fleet.iter().cloned().collect();
+            (knowledge.table.clone(), instances)
+        };
+        let seen = self.shared.seen.load(std::sync::atomic::Ordering::Relaxed);
+        for service in table.services() {
+            let Some(engine) = &service.engine else { continue };
+            let formation = self
+                .formations
+                .entry(service.name.clone())
+                .or_insert_with(|| Formation::new(fence, formation::Settings::default()));
+            formation.free_loads(!seen && self.shared.settings.first_start);
+            let of = instances.iter().filter(|it| it.service == service.name).map(|it| &**it);
+            let actions = formation.plan(now, engine, of);
+            for action in actions {
+                let born = instances.iter().find(|it| it.id == action.id).map(|it| it.born);
+                self.order(fence, action, born.unwrap_or_default());
+            }
+        }
+    }
+
+    /// Asks the members of suspect replicas whether they live.
+    fn probe_suspects(&mut self, now: Time) {
+        let mut counts = self.shared.peers.suspects(now);
+        let balance = self.shared.balance();
+        balance.suspects().for_each(|it| *counts.entry(hash(&it.id)).or_default() += 1);
+        let suspects: Vec<Vec<Arc<str>>> = balance
+            .targets()
+            .filter(|(it, _)| it.model.is_some() && counts.contains_key(&hash(&it.id)))
+            .map(|(it, _)| it.members.clone())
+            .collect();
+        drop(balance);
+        for id in suspects.into_iter().flatten() {
+            let probe = self.probes.entry(id.clone()).or_default();
+            if now.since(probe.at) < PROBE_PAUSE && probe.at > Time::ZERO {
+                continue;
+            }
+            probe.at = now;
+            self.probe(id);
+        }
+        self.probes.retain(|_, it| now.since(it.at) < PROBE_PAUSE * 5);
+    }
+
+    fn probe(&self, id: Arc<str>) {
+        let Some(instance) = self.shared.knowledge().fleet.get(&id).cloned() else { return };
+        let (shared, results) = (self.shared.clone(), self.results.clone());
+        tokio::spawn(async move {
+            let request = shared.platform.probe(instance.address);
+            let call = shared.targets.call(instance.address, request, PROBE, MAX_ANSWER).await;
+            let alive = call.is_ok();
+            // Without a receiver the process ends.
+            let _sent = results.send(Result::Probe { id, born: instance.born, alive }).await;
+        });
+    }
+
+    fn order(&self, fence: u64, action: Action, born: u64) {
+        let (shared, results) = (self.shared.clone(), self.results.clone());
+        tokio::spawn(async move {
+            let Action { id, address, order } = action;
+            let request = shared.platform.order(address, &order, fence);
+            let call = shared.targets.call(address, request, ORDER, MAX_ANSWER).await;
+            let connected = !matches!(call, Err(Call::Connect(_)));
+            let taken = call.as_ref().ok().map(|it| shared.platform.taken(it.status()));
+            let result = match &call {
+                Ok(answer) => answer.status().to_string(),
+                Err(error) => error.to_string(),
+            };
+            let (name, group) = describe(&order);
+            let event =
+                Event::Ordered { instance: &id, order: name, group, fence, result: &result };
+            shared.journal.note(&event);
+            let result = Result::Order { id: id.clone(), born, order, taken, connected };
+            // Without a receiver the process ends.
+            let _sent = results.send(result).await;
+        });
+    }
+
+    fn take(&mut self, result: Result) {
+        let now = self.shared.now();
+        match result {
+            Result::Probe { id, born, alive } => self.probed(now, &id, born, alive),
+            Result::Order { id, born, taken, connected, .. } => {
+                if taken == Some(Taken::Fenced) {
+                    return self.give_up("an instance has seen a later owner");
+                }
+                for formation in self.formations.values_mut() {
+                    match taken {
+                        Some(Taken::Yes) => formation.found(&id),
+                        Some(_) => formation.refused(&id),
+                        None if !connected => formation.lost(now, &id, born),
+                        None => {}
+                    }
+                }
+            }
+        }
+    }
+
+    fn probed(&mut self, now: Time, id: &Arc<str>, born: u64, alive: bool) {
+        let probe = self.probes.entry(id.clone()).or_default();
+        probe.misses = if alive { 0 } else { probe.misses + 1 };
+        let lost = probe.misses >= MISSES;
+        for formation in self.formations.values_mut() {
+            match (alive, lost) {
+                (true, _) => formation.found(id),
+                (false, true) => formation.lost(now, id, born),
+                (false, false) => {}
+            }
+        }
+        if lost {
+            let reason = "no answer to questions";
+            self.shared.journal.note(&Event::Unreachable { instance: id, reason });
+        } else if !alive {
+            // Asked again at once: one lost answer must not end a replica.
+            self.probes.entry(id.clone()).or_default().at = now;
+            self.probe(id.clone());
+        }
+    }
+}
+
+fn describe(order: &Order) -> (&'static str, &str) {
+    match order {
+        Order::Join { group, .. } => ("join", group),
+        Order::Open { group, .. } => ("open", group),
+        Order::Close { group, .. } => ("close", group),
+        Order::Leave { group, .. } => ("leave", group),
+        Order::Stage { model } => ("stage", model),
+    }
+}
+
+/// Whether a write was refused since the object is there already.
+pub fn exists(status: StatusCode) -> bool {
+    status == StatusCode::CONFLICT
+}
--- /dev/null
+++ b/gateway/src/ready.rs
@@ -0,0 +1,81 @@
+//! Small listeners: whether this entry is ready, and its counters.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use decision::prelude::*;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+
+use crate::port::Platform;
+use crate::state::Shared;
+
+/// Longest time for a question, also on an idle connection.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The path of the counters.
+const METRICS: &str = "/metrics";
+
+/// Answers questions on `listener`.
+pub async fn serve<P: Platform>(shared: Arc<Shared<P>>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let shared = shared.clone();
+        let service = service_fn(move |request| {
+            let response = respond(&shared, &request);
+            async move { Ok::<_, Infallible>(response) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move {
+            // The asker sees how its connection ends.
+            let _ended = connection.await;
+        });
+    }
+}
+
+fn respond<P: Platform>(shared: &Shared<P>, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let path = request.uri().path();
+    let (status, text) = match path {
+        _ if request.method() != Method::GET => (StatusCode::METHOD_NOT_ALLOWED, String::new()),
+        METRICS => (StatusCode::OK, metrics(shared)),
+        _ if path == shared.platform.ready_path() => match shared.is_ready() {
+            true => (StatusCode::OK, String::new()),
+            false => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+        },
+        _ => (StatusCode::NOT_FOUND, String::new()),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
+
+fn metrics<P: Platform>(shared: &Shared<P>) -> String {
+    let now = shared.now();
+    let knowledge = shared.knowledge();
+    let age = |at: Option<Time>| at.map_or(f64::INFINITY, |it| now.since(it).as_secs_f64());
+    let gauges = [
+        ("rhubarblatch_config_version", knowledge.table.version() as f64),
+        ("rhubarblatch_config_age_seconds", age(knowledge.config_at)),
+        ("rhubarblatch_instances_age_seconds", age(knowledge.fleet_at)),
+        ("rhubarblatch_instances", knowledge.fleet.iter().count() as f64),
+        ("rhubarblatch_entries", knowledge.entries.len() as f64),
+        ("rhubarblatch_log_lines_dropped_total", shared.journal.dropped() as f64),
+    ];
+    drop(knowledge);
+    let suspects = shared.balance().suspects().count() as f64;
+    let mut all = gauges.to_vec();
+    all.push(("rhubarblatch_suspect_targets", suspects));
+    shared.metrics.text(&all)
+}
--- /dev/null
+++ b/gateway/src/request.rs
@@ -0,0 +1,408 @@
+//! One request of a caller, from its route to its first target.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use decision::gateway::balance::{Ask, Choice, End, Key, Target};
+use decision::gateway::config::{Route, Service};
+use decision::gateway::route::{Holder, Table};
+use decision::prelude::*;
+use http::header::{self, HeaderName};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, request};
+use http_body_util::Full;
+use rand::RngExt as _;
+use tokio::time::{Instant, timeout_at};
+
+use crate::body::Answer;
+use crate::journal::Event;
+use crate::port::{Envelope, Head, Outgoing, Platform};
+use crate::state::Shared;
+
+/// Part of the objective that a request may wait at this entry for a free slot.
+const QUEUE_PART: u32 = 4;
+
+/// Part of the time left after which a caller is told to come back at the latest. Callers
+/// don't wait for longer than a third of it.
+const RETURN_PART: u32 = 4;
+
+/// Shortest time after which a caller is told to come back.
+const RETURN_LEAST: Duration = Duration::from_millis(100);
+
+/// Headers that concern one connection only.
+const HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// A request of a caller that may be sent to targets.
+pub struct Job<P> {
+    /// What the entry shares.
+    pub shared: Arc<Shared<P>>,
+    /// What its head says.
+    pub head: Head,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that it goes to.
+    pub service: Arc<Service>,
+    /// The workspace on whose behalf it is made.
+    pub workspace: Option<Arc<str>>,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers as the caller sent them, without those of its connection.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// When it was read.
+    pub arrived: Time,
+    /// When the caller or the route gives it up.
+    pub deadline: Time,
+    /// Targets that it was sent to, and that may have run it.
+    pub tried: Vec<Key>,
+    /// Targets that are not asked again.
+    pub avoid: Vec<Key>,
+    /// Times that it was sent.
+    pub sends: u32,
+    /// Version of the configuration, and its age when the request was taken.
+    pub knowledge: (u64, Duration),
+}
+
+/// A target that a request was given to, counted there until the end.
+pub struct Place<P> {
+    shared: Arc<Shared<P>>,
+    /// The target.
+    pub key: Key,
+    /// The target as it was listed.
+    pub target: Target,
+    prompt: u64,
+    ended: bool,
+}
+
+/// Why a request got no target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    /// All targets are busy.
+    Busy(Duration),
+    /// There is no target.
+    Nothing,
+    /// Its time is over.
+    Late,
+    /// The budget of repeats is spent.
+    Budget,
+}
+
+/// A refusal by this entry.
+#[derive(Clone, Copy, Debug)]
+pub struct Refusal {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Why, for the log.
+    pub reason: &'static str,
+    /// When to come back.
+    pub after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal that tells no time to come back.
+    pub const fn new(status: StatusCode, reason: &'static str) -> Refusal {
+        Refusal { status, reason, after: None }
+    }
+
+    /// A refusal of a request that has not run and may come back.
+    pub const fn later(reason: &'static str, after: Duration) -> Refusal {
+        Refusal { status: StatusCode::SERVICE_UNAVAILABLE, reason, after: Some(after) }
+    }
+
+    /// The answer to the caller.
+    pub fn answer(&self) -> Response<Answer> {
+        let mut response = Response::new(Answer::whole(Bytes::new()));
+        *response.status_mut() = self.status;
+        if let Some(after) = self.after {
+            let text = format!("{:.3}", after.as_secs_f64());
+            if let Ok(value) = text.parse() {
+                response.headers_mut().insert(header::RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
+
+/// Where a request goes, as far as the head tells.
+pub struct Way {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Its service.
+    pub service: Arc<Service>,
+    /// The workspace on whose behalf it is made.
+    pub workspace: Option<Arc<str>>,
+    /// Version of the configuration, and its age.
+    pub knowledge: (u64, Duration),
+}
+
+/// Finds a request's way, or why it has none.
+///
+/// # Errors
+///
+/// Refuses what no route or key allows, and what can't be decided by what is known now.
+pub fn way<P: Platform>(shared: &Shared<P>, head: &Head, path: &str) -> Result<Way, Refusal> {
+    let (table, known) = {
+        let knowledge = shared.knowledge();
+        (knowledge.table.clone(), knowledge.config_at)
+    };
+    let soon = Duration::from_millis(500);
+    let Some(known) = known.filter(|_| table.version() > 0) else {
+        return Err(Refusal::later("no configuration yet", soon));
+    };
+    let age = shared.now().since(known);
+    let bounds = &shared.settings.bounds;
+    let Some(route) = table.route(&head.host, path) else {
+        return Err(match age < bounds.config_age() {
+            true => Refusal::new(StatusCode::NOT_FOUND, "no such route"),
+            false => Refusal::later("routes are not known for sure", soon),
+        });
+    };
+    let holder = table.holder(route, head.key.as_deref());
+    if !matches!(holder, Holder::Anyone) && age >= bounds.key_age() {
+        return Err(Refusal::later("keys are not known for sure", soon));
+    }
+    let workspace = match holder {
+        Holder::Anyone => None,
+        Holder::Workspace(workspace) => Some(workspace.name.clone()),
+        Holder::Unknown => return Err(Refusal::new(StatusCode::UNAUTHORIZED, "unknown key")),
+    };
+    let service = service(&table, route).ok_or(Refusal::later("no such service", soon))?;
+    let route = route.clone();
+    Ok(Way { route, service, workspace, knowledge: (table.version(), age) })
+}
+
+fn service(table: &Table, route: &Route) -> Option<Arc<Service>> {
+    table.service(route, rand::rng().random()).cloned()
+}
+
+impl<P: Platform> Job<P> {
+    /// Whether the request may be sent to one more target.
+    pub fn may_repeat(&self) -> bool {
+        let balance = self.shared.balance();
+        let counted = self.tried.iter().filter(|it| balance.is_listed(**it)).count();
+        (counted as u32) < self.route.attempts.max(1)
+    }
+
+    /// Finds a target, waiting a little while all are busy.
+    ///
+    /// # Errors
+    ///
+    /// Says why there is none.
+    pub async fn place(&mut self, urgent: bool) -> Result<Place<P>, Denial> {
+        let arrived = self.shared.now();
+        let patience = self.route.objective / QUEUE_PART;
+        let until = self.shared.clock.instant((arrived + patience).min(self.deadline));
+        loop {
+            let shared = self.shared.clone();
+            let freed = shared.freed.notified();
+            tokio::pin!(freed);
+            freed.as_mut().enable();
+            match self.choose(urgent) {
+                Ok(place) => return Ok(place),
+                Err(Denial::Busy(after)) => {
+                    if Instant::now() >= until || timeout_at(until, freed).await.is_err() {
+                        return Err(Denial::Busy(after));
+                    }
+                }
+                Err(denial) => return Err(denial),
+            }
+        }
+    }
+
+    fn choose(&mut self, urgent: bool) -> Result<Place<P>, Denial> {
+        let now = self.shared.now();
+        if now >= self.deadline {
+            return Err(Denial::Late);
+        }
+        let ask = Ask {
+            model: self.service.engine.as_ref().and(self.head.model.clone()),
+            prompt: if self.service.engine.is_some() { self.head.prompt } else { 0 },
+            objective: self.route.objective.saturating_sub(now.since(self.arrived)),
+            avoid: self.avoid.clone(),
+            urgent,
+        };
+        if self.sends > 0 && !self.shared.spend(&self.service.name) {
+            return Err(Denial::Budget);
+        }
+        let mut balance = self.shared.balance();
+        match balance.choose(now, &self.service.name, &ask) {
+            Choice::Send(key) => {
+                let target = balance.target(key).cloned();
+                drop(balance);
+                let target = target.ok_or(Denial::Nothing)?;
+                let shared = self.shared.clone();
+                Ok(Place { shared, key, target, prompt: ask.prompt, ended: false })
+            }
+            Choice::Busy(after) => Err(Denial::Busy(after)),
+            Choice::None => Err(Denial::Nothing),
+        }
+    }
+
+    /// The request as it goes to `place`.
+    pub fn outgoing(&self, place: &Place<P>, last_event: Option<Arc<str>>) -> Outgoing {
+        let left = self.deadline.since(self.shared.now());
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let mut headers = self.headers.clone();
+        let envelope = Envelope {
+            deadline: Some(left),
+            instance: place.target.id.clone(),
+            workspace: self.workspace.clone(),
+            urgency: last_event.is_some().then_some(1),
+            last_event,
+        };
+        self.shared.platform.forward(&mut headers, &envelope);
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Notes that the request is sent to `place`.
+    pub fn sent(&mut self, place: &Place<P>) {
+        self.sends += 1;
+        self.shared.journal.note(&Event::Sent {
+            request: &self.head.id,
+            route: &self.route.name,
+            target: &place.target.id,
+            attempt: self.sends,
+            config: self.knowledge.0,
+            config_age_ms: millis(self.knowledge.1),
+            waited_ms: self.waited_ms(),
+        });
+    }
+
+    /// Notes that an attempt failed.
+    pub fn failed(&self, place: &Place<P>, reason: &str, ran: &str) {
+        self.shared.journal.note(&Event::Failed {
+            request: &self.head.id,
+            target: &place.target.id,
+            reason,
+            ran,
+            after_ms: self.waited_ms(),
+        });
+    }
+
+    /// Notes the final answer.
+    pub fn ended(&self, target: &str, status: StatusCode, outcome: &str, first: Duration) {
+        let labels = format!("route=\"{}\",outcome=\"{outcome}\"", self.route.name);
+        self.shared.metrics.count("rhubarblatch_requests_total", &labels);
+        let label = format!("route=\"{}\"", self.route.name);
+        self.shared.metrics.time("rhubarblatch_first_byte_seconds", &label, first);
+        self.shared.journal.note(&Event::Ended {
+            request: &self.head.id,
+            route: &self.route.name,
+            target,
+            status: status.as_u16(),
+            outcome,
+            first_ms: millis(first),
+            total_ms: self.waited_ms(),
+        });
+    }
+
+    /// The answer to a request that got no target. It has not run.
+    pub fn deny(&self, denial: Denial) -> Response<Answer> {
+        let left = self.deadline.since(self.shared.now());
+        let (reason, after) = match denial {
+            Denial::Busy(after) => ("all targets are busy", after),
+            Denial::Nothing => ("no target", Duration::from_millis(500)),
+            Denial::Late => ("its time is over", Duration::from_millis(500)),
+            Denial::Budget => ("the budget of repeats is spent", Duration::from_millis(300)),
+        };
+        let latest = (left / RETURN_PART).max(RETURN_LEAST);
+        let spread = rand::rng().random_range(0.75..1.25);
+        let after = after.mul_f64(spread).clamp(RETURN_LEAST, latest);
+        let refusal = Refusal::later(reason, after);
+        self.refuse(&refusal)
+    }
+
+    /// Notes a refusal and turns it into an answer.
+    pub fn refuse(&self, refusal: &Refusal) -> Response<Answer> {
+        let labels = format!("route=\"{}\",outcome=\"refused\"", self.route.name);
+        self.shared.metrics.count("rhubarblatch_requests_total", &labels);
+        self.shared.journal.note(&Event::Refused {
+            request: &self.head.id,
+            route: &self.route.name,
+            status: refusal.status.as_u16(),
+            reason: refusal.reason,
+            config: self.knowledge.0,
+            config_age_ms: millis(self.knowledge.1),
+            waited_ms: self.waited_ms(),
+        });
+        refusal.answer()
+    }
+
+    /// Milliseconds since the request was read.
+    pub fn waited_ms(&self) -> u64 {
+        millis(self.shared.now().since(self.arrived))
+    }
+}
+
+impl<P> Place<P> {
+    /// Notes the first token.
+    pub fn first(&mut self) {
+        let prompt = std::mem::take(&mut self.prompt);
+        self.shared.balance().first(self.key, prompt);
+    }
+
+    /// Notes a sign of life.
+    pub fn hear(&self) {
+        let now = self.shared.now();
+        self.shared.balance().hear(now, self.key);
+    }
+
+    /// Notes how it ended.
+    pub fn end(mut self, end: End) {
+        self.finish(end);
+    }
+
+    fn finish(&mut self, end: End) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let now = self.shared.now();
+        self.shared.balance().end(now, self.key, self.prompt, end);
+        self.shared.freed.notify_one();
+    }
+}
+
+impl<P> Drop for Place<P> {
+    /// A request that is dropped was left by its caller.
+    fn drop(&mut self) {
+        self.finish(End::Left);
+    }
+}
+
+/// Removes the headers that concern one connection only.
+pub fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .into_iter()
+        .filter_map(|it| it.to_str().ok())
+        .flat_map(|it| it.split(','))
+        .filter_map(|it| it.trim().parse().ok())
+        .collect();
+    named.iter().for_each(|it| drop(headers.remove(it)));
+    HOP.iter().for_each(|it| drop(headers.remove(it)));
+}
+
+/// The path and query of a request, as a target gets it.
+pub fn target_uri(parts: &request::Parts) -> Uri {
+    let path = parts.uri.path_and_query().cloned();
+    path.map(Uri::from).unwrap_or_else(|| Uri::from_static("/"))
+}
+
+/// A duration in whole milliseconds.
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/gateway/src/state.rs
@@ -0,0 +1,252 @@
+//! What the parts of one entry share: what it knows, and what it has in progress.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use decision::gateway::balance::{self, Balance, Target};
+use decision::gateway::budget::{self, Budget};
+use decision::gateway::fleet::Fleet;
+use decision::gateway::route::Table;
+use decision::prelude::*;
+use tokio::sync::Notify;
+
+use crate::clock::Clock;
+use crate::journal::{Event, Journal};
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::pool::{self, Pool};
+use crate::port::Entry;
+use crate::settings::Settings;
+
+/// Pause between signs of life on a connection to the store.
+const STORE_KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// What the parts of one entry share.
+pub struct Shared<P> {
+    /// The platform's way of speaking.
+    pub platform: P,
+    /// The settings.
+    pub settings: Settings,
+    /// The time.
+    pub clock: Clock,
+    /// Where decisions are written.
+    pub journal: Journal,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Connections to targets.
+    pub targets: Pool,
+    /// Connections to the store.
+    pub store: Pool,
+    /// A slot may be free.
+    pub freed: Notify,
+    /// The list of instances, or what is known of them, has changed.
+    pub changed: Notify,
+    /// Requests in progress.
+    pub open: AtomicUsize,
+    /// Whether a caller's request has been seen, here or at a peer.
+    pub seen: AtomicBool,
+    /// Whether the store answered the last question about the configuration.
+    pub store_up: AtomicBool,
+    /// What peers told.
+    pub peers: Peers,
+    /// Whether the process is stopping.
+    pub stopping: AtomicBool,
+    knowledge: Mutex<Knowledge>,
+    balance: Mutex<Balance>,
+    budgets: Mutex<HashMap<Arc<str>, Budget>>,
+}
+
+/// What this entry knows, and since when.
+#[derive(Debug, Default)]
+pub struct Knowledge {
+    /// The configuration in force.
+    pub table: Arc<Table>,
+    /// When the last question was sent whose answer confirmed the configuration.
+    pub config_at: Option<Time>,
+    /// The instances.
+    pub fleet: Fleet,
+    /// When the last question was sent whose answer confirmed the list of instances.
+    pub fleet_at: Option<Time>,
+    /// Entries by name.
+    pub entries: HashMap<Arc<str>, Entry>,
+}
+
+impl<P> Shared<P> {
+    /// Nothing known yet.
+    pub fn new(platform: P, settings: Settings, clock: Clock, journal: Journal) -> Shared<P> {
+        let balance = balance::Settings {
+            failure_domain: settings.failure_domain.as_str().into(),
+            seed: balance::hash(&settings.instance),
+            ..balance::Settings::default()
+        };
+        let store = pool::Settings {
+            keepalive: Some(STORE_KEEPALIVE),
+            idle: Duration::from_secs(10),
+            connect: Duration::from_millis(500),
+            ..pool::Settings::default()
+        };
+        Shared {
+            platform,
+            settings,
+            clock,
+            journal,
+            metrics: Metrics::default(),
+            targets: Pool::new(pool::Settings::default()),
+            store: Pool::new(store),
+            freed: Notify::new(),
+            changed: Notify::new(),
+            open: AtomicUsize::new(0),
+            seen: AtomicBool::new(false),
+            store_up: AtomicBool::new(false),
+            peers: Peers::default(),
+            stopping: AtomicBool::new(false),
+            knowledge: Mutex::default(),
+            balance: Mutex::new(Balance::new(balance)),
+            budgets: Mutex::default(),
+        }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// What is known. Not held across a wait.
+    pub fn knowledge(&self) -> MutexGuard<'_, Knowledge> {
+        self.knowledge.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The targets and their load. Not held across a wait.
+    pub fn balance(&self) -> MutexGuard<'_, Balance> {
+        self.balance.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the store answered last.
+    pub fn is_store_up(&self) -> bool {
+        self.store_up.load(Ordering::Relaxed)
+    }
+
+    /// Counts a caller's request to `service`.
+    pub fn count_request(&self, service: &Arc<str>) {
+        let now = self.now();
+        self.budget(service, |it| it.request(now));
+    }
+
+    /// Takes one repeat to `service` out of this entry's part of the budget.
+    pub fn spend(&self, service: &Arc<str>) -> bool {
+        let now = self.now();
+        let entries = self.knowledge().entries.len();
+        self.budget(service, |it| it.spend(now, entries))
+    }
+
+    fn budget<T>(&self, service: &Arc<str>, with: impl FnOnce(&mut Budget) -> T) -> T {
+        let bounds = &self.settings.bounds;
+        let settings = budget::Settings {
+            ratio: bounds.retry_ratio,
+            window: Duration::from_secs_f64(bounds.retry_window_s),
+            slack: bounds.retry_slack,
+        };
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        with(budgets.entry(service.clone()).or_insert_with(|| Budget::new(settings)))
+    }
+
+    /// Whether this entry should get new connections.
+    pub fn is_ready(&self) -> bool {
+        if self.stopping.load(Ordering::Relaxed) {
+            return false;
+        }
+        let knowledge = self.knowledge();
+        let age = knowledge.config_at.map(|it| self.now().since(it));
+        let fresh = age.is_some_and(|it| it < self.settings.bounds.key_age());
+        let services: Vec<_> = knowledge.table.services().map(|it| it.name.clone()).collect();
+        drop(knowledge);
+        let balance = self.balance();
+        fresh && services.iter().any(|it| balance.is_served(it))
+    }
+
+    /// Brings the targets up to date with the configuration and the list of instances.
+    pub fn refresh(&self) {
+        let now = self.now();
+        let mut knowledge = self.knowledge();
+        knowledge.fleet.expire(now);
+        let mut balance = self.balance();
+        balance.entries(knowledge.entries.len());
+        let bounds = &self.settings.bounds;
+        let mut names = Vec::new();
+        for service in knowledge.table.services() {
+            names.push(service.name.clone());
+            let rate = service.warmup_rate * bounds.warmup_excess + bounds.warmup_slack;
+            let targets = targets(now, &knowledge.fleet, service);
+            balance.update(now, &service.name, service.engine.as_ref(), rate, targets);
+        }
+        balance.retain(&names);
+        drop(balance);
+        drop(knowledge);
+        self.freed.notify_waiters();
+        self.changed.notify_waiters();
+    }
+
+    /// Tells how many targets each service has, if that has changed.
+    pub fn report(&self, told: &mut HashMap<Arc<str>, (usize, usize)>) {
+        let mut counts: HashMap<Arc<str>, (usize, usize)> = HashMap::new();
+        let knowledge = self.knowledge();
+        for service in knowledge.table.services() {
+            let of = knowledge.fleet.iter().filter(|it| it.service == service.name);
+            let instances = of.count();
+            let serving = match &service.engine {
+                Some(_) => knowledge.fleet.replicas(service).len(),
+                None => instances,
+            };
+            counts.insert(service.name.clone(), (serving, instances));
+        }
+        drop(knowledge);
+        for (service, (serving, instances)) in &counts {
+            if told.get(service) != Some(&(*serving, *instances)) {
+                let (serving, instances) = (*serving, *instances);
+                self.journal.note(&Event::Replicas { service, serving, instances });
+            }
+        }
+        *told = counts;
+    }
+}
+
+/// The targets of `service`, each with the time for which it is still cold.
+fn targets(
+    now: Time,
+    fleet: &Fleet,
+    service: &decision::gateway::config::Service,
+) -> Vec<(Target, Duration)> {
+    let Some(engine) = &service.engine else {
+        let open = fleet.iter().filter(|it| it.service == service.name && fleet.is_open(it));
+        let plain = open.map(|it| {
+            let target = Target {
+                id: it.id.clone(),
+                life: (it.born, 0),
+                address: it.address,
+                failure_domain: it.failure_domain.clone(),
+                slots: it.slots,
+                model: None,
+                pace: 1.0,
+                members: vec![it.id.clone()],
+            };
+            (target, fleet.warmup_left(now, &it.id))
+        });
+        return plain.collect();
+    };
+    let replicas = fleet.replicas(service).into_iter().filter_map(|replica| {
+        let head = fleet.get(&replica.members[0])?;
+        let target = Target {
+            id: head.id.clone(),
+            life: (head.born, replica.epoch),
+            address: head.address,
+            failure_domain: head.failure_domain.clone(),
+            slots: engine.slots,
+            model: Some(replica.model),
+            pace: replica.pace,
+            members: replica.members,
+        };
+        Some((target, fleet.warmup_left(now, &head.id)))
+    });
+    replicas.collect()
+}
--- a/operator/src/writer.rs
+++ b/operator/src/writer.rs
@@ -13,9 +13,9 @@
 use decision::declaration::{Declaration, Id, Set};
 use decision::head::{Fate, Generation, Hash, Head, item_key};
 use decision::roster;
-use platform::object::Object;
-use platform::{Error, Kind, Store, Version};
 use serde::Deserialize;
+use store::object::Object;
+use store::{Error, Kind, Store, Version};
 
 use crate::change::{Applied, Change, Configuration, Difference, Edit};
 use crate::entry::Forget;
--- a/operator/src/writer/sweep.rs
+++ b/operator/src/writer/sweep.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use decision::head::Head;
-use platform::{Kind, Store, Version};
+use store::{Kind, Store, Version};
 
 /// Bodies as they were before an update of the head.
 ///
--- a/operator/tests/support/mod.rs
+++ b/operator/tests/support/mod.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use decision::head::Head;
-use platform::error::Cause;
-use platform::memory::Memory;
-use platform::object::{Changes, List, Object};
-use platform::{Error, Kind, Store, Version};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use store::error::Cause;
+use store::memory::Memory;
+use store::object::{Changes, List, Object};
+use store::{Error, Kind, Store, Version};
 
 /// What happens to one call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/operator/tests/writer.rs
+++ b/operator/tests/writer.rs
@@ -11,11 +11,11 @@
 use operator::Refusal;
 use operator::change::{Applied, Change, Edit};
 use operator::writer::{Settings, Writer};
-use platform::Store;
-use platform::memory::Memory;
 use proptest::prelude::*;
 use rstest::rstest;
 use serde_json::Value;
+use store::Store;
+use store::memory::Memory;
 use support::{Scheduled, Step};
 
 const NAMES: [&str; 3] = ["a", "b", "c"];
@@ -129,7 +129,7 @@
     for weight in 1..20 {
         writer.change(&change(weight.into(), vec![edit(0, weight - 1, weight)])).await.unwrap();
     }
-    let bodies = store.list::<Value>(platform::Kind::Declaration).await.unwrap();
+    let bodies = store.list::<Value>(store::Kind::Declaration).await.unwrap();
     assert!(bodies.objects.len() <= 2, "{bodies:#?}");
 }
 
--- a/rhubarblatch/src/arguments.rs
+++ b/rhubarblatch/src/arguments.rs
@@ -20,7 +20,7 @@
     /// than once
     #[argh(option)]
     pub(crate) entry: Vec<SocketAddr>,
-    /// settings file; RHUBARBLATCH_SETTINGS names it otherwise
+    /// settings file; RHUBARBLATCH_TOOL_SETTINGS names it otherwise
     #[argh(option)]
     pub(crate) settings: Option<PathBuf>,
     /// the command
--- a/rhubarblatch/src/client.rs
+++ b/rhubarblatch/src/client.rs
@@ -10,11 +10,11 @@
 use operator::change::{Applied, Change, Configuration};
 use operator::entry::{Entries, Forget};
 use operator::status::{Explanation, Status};
-use platform::error::Cause;
-use platform::exchange::{self, Answer, Bounds, Connection, Failure};
-use platform::token::Token;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use store::error::Cause;
+use store::exchange::{self, Answer, Bounds, Connection, Failure};
+use store::token::Token;
 
 use crate::error::{Attempt, Error};
 use crate::settings::Settings;
--- a/rhubarblatch/src/error.rs
+++ b/rhubarblatch/src/error.rs
@@ -12,7 +12,7 @@
 use decision::name::Name;
 use operator::Refusal;
 use operator::source::{self, Declared, Source};
-use platform::error::Cause;
+use store::error::Cause;
 
 use crate::report;
 use crate::settings::TOKEN_VARIABLE;
--- a/rhubarblatch/src/settings.rs
+++ b/rhubarblatch/src/settings.rs
@@ -4,13 +4,13 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use platform::token::Token;
 use serde::Deserialize;
+use store::token::Token;
 
 use crate::error::Error;
 
 /// The environment variable that names the settings file.
-pub(crate) const FILE_VARIABLE: &str = "RHUBARBLATCH_SETTINGS";
+pub(crate) const FILE_VARIABLE: &str = "RHUBARBLATCH_TOOL_SETTINGS";
 /// The environment variable that holds the token.
 pub(crate) const TOKEN_VARIABLE: &str = "RHUBARBLATCH_OPERATOR_TOKEN";
 
--- a/rhubarblatch/tests/command.rs
+++ b/rhubarblatch/tests/command.rs
@@ -4,9 +4,9 @@
 
 use std::process::Command;
 
-use platform::count::Call;
 use rstest::rstest;
 use serde_json::{Value, json};
+use store::count::Call;
 use support::{Entry, Fault, Run, TOKEN, run, run_command};
 use tokio::net::TcpListener;
 
--- a/rhubarblatch/tests/support/mod.rs
+++ b/rhubarblatch/tests/support/mod.rs
@@ -15,8 +15,8 @@
 use operator::status::{Explanation, Fact, Status};
 use operator::writer::{self, Writer};
 use operator::{Handler, Refusal};
-use platform::memory::Memory;
-use platform::token::Token;
+use store::memory::Memory;
+use store::token::Token;
 use tokio::net::TcpListener;
 
 /// The token that the listener asks for.
--- a/rhubarblatchd/benches/entry.rs
+++ b/rhubarblatchd/benches/entry.rs
@@ -118,11 +118,11 @@
 }
 
 async fn declare(store: SocketAddr) -> Result<()> {
-    let settings = platform::client::Settings {
+    let settings = store::client::Settings {
         address: format!("http://{store}"),
-        ..platform::client::Settings::default()
+        ..store::client::Settings::default()
     };
-    let writer = Writer::new(platform::client::Client::new(settings)?, writer::Settings::default());
+    let writer = Writer::new(store::client::Client::new(settings)?, writer::Settings::default());
     let declared: Vec<Declaration> = serde_json::from_value(json!([
         { "kind": "failure_domain", "name": "riga-a" },
         { "kind": "profile", "name": "assistant", "cold_limit": 64, "warm_limit": 64 },
--- a/rhubarblatchd/benches/size/world.rs
+++ b/rhubarblatchd/benches/size/world.rs
@@ -23,10 +23,10 @@
 use peer::meter::Traffic;
 use peer::token::Token;
 use peer::{forward, wire};
-use platform::{Kind, Store as _, Version};
 use serde_json::{Value, json};
 use standin::engine::{Config, Engine};
 use standin::store::Store;
+use store::{Kind, Store as _, Version};
 use tokio::net::TcpListener;
 use tokio::time::{self, Instant};
 use tokio_util::sync::CancellationToken;
@@ -79,9 +79,9 @@
         let store = bind().await?;
         let platform = store.local_addr()?;
         tokio::spawn(Store::new().serve(store));
-        let client = platform::client::Client::new(platform::client::Settings {
+        let client = store::client::Client::new(store::client::Settings {
             address: format!("http://{platform}"),
-            ..platform::client::Settings::default()
+            ..store::client::Settings::default()
         })?;
 
         let (mut roster, mut sockets) = (head::Roster::new(), Vec::new());
@@ -206,7 +206,7 @@
     }
 
     /// Keeps the other entries at the newest head.
-    async fn follow(self: Arc<Self>, store: platform::client::Client) {
+    async fn follow(self: Arc<Self>, store: store::client::Client) {
         let mut ticks = time::interval(EXCHANGE);
         loop {
             ticks.tick().await;
@@ -353,7 +353,7 @@
 }
 
 /// Renews the leases that the others hold.
-async fn renew(store: platform::client::Client, mut fabrics: BTreeMap<Name, Fabric>) {
+async fn renew(store: store::client::Client, mut fabrics: BTreeMap<Name, Fabric>) {
     fabrics.retain(|_, it| it.lease.holder.is_some());
     loop {
         for (name, fabric) in &mut fabrics {
@@ -378,7 +378,7 @@
 
 /// Writes one service for each fabric domain, and workspaces up to the number of declarations.
 async fn declare(
-    store: &platform::client::Client,
+    store: &store::client::Client,
     domains: usize,
 ) -> Result<(BTreeMap<String, Hash>, BTreeMap<Hash, Value>)> {
     let mut declared = vec![json!({ "kind": "profile", "name": "assistant" })];
--- a/rhubarblatchd/benches/store_calls.rs
+++ b/rhubarblatchd/benches/store_calls.rs
@@ -13,14 +13,14 @@
 use decision::roster::{self, Joiner};
 use operator::change::{Change, Edit};
 use operator::writer::{self, Writer};
-use platform::count::Call;
-use platform::memory::Memory;
-use platform::{Kind, Store, Version};
 use rhubarblatchd::Uptime;
 use rhubarblatchd::control::objects::Objects;
 use rhubarblatchd::follower::{Follower, Newer, Peers, Settings, Sink};
 use rhubarblatchd::membership::listing;
 use serde_json::Value;
+use store::count::Call;
+use store::memory::Memory;
+use store::{Kind, Store, Version};
 use tokio::time::{self, Instant};
 
 type Error = Box<dyn std::error::Error + Send + Sync>;
--- a/rhubarblatchd/src/claims.rs
+++ b/rhubarblatchd/src/claims.rs
@@ -10,7 +10,7 @@
 use decision::election;
 use opentelemetry::metrics::Counter;
 use opentelemetry::{KeyValue, global};
-use platform::{Error, Kind, Store, Version};
+use store::{Error, Kind, Store, Version};
 use tokio::sync::{Notify, oneshot};
 use tokio::time;
 use tokio_util::task::TaskTracker;
--- a/rhubarblatchd/src/configuration.rs
+++ b/rhubarblatchd/src/configuration.rs
@@ -13,8 +13,8 @@
 use decision::gossip::{Answer, Ask};
 use decision::head::{Generation, Hash, Incarnation};
 use decision::name::Name;
-use platform::client::Client;
 use serde_json::Value;
+use store::client::Client;
 
 use crate::follower::{self, Newer, Peers, Settings, Sink};
 use crate::node::Node;
--- a/rhubarblatchd/src/control.rs
+++ b/rhubarblatchd/src/control.rs
@@ -22,7 +22,7 @@
 use decision::placement::{self, Plan};
 use decision::survey;
 use decision::target::Phase;
-use platform::client::Client;
+use store::client::Client;
 use target::{order, report};
 use tokio::sync::Semaphore;
 use tokio::time;
--- a/rhubarblatchd/src/control/driver.rs
+++ b/rhubarblatchd/src/control/driver.rs
@@ -15,7 +15,7 @@
 use decision::probe::Probe;
 use decision::report::Report;
 use decision::track;
-use platform::{Error, Kind, Store as _, Version};
+use store::{Error, Kind, Store as _, Version};
 use target::order;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
--- a/rhubarblatchd/src/control/instances.rs
+++ b/rhubarblatchd/src/control/instances.rs
@@ -10,9 +10,9 @@
 use decision::evidence::Out;
 use decision::lifecycle::Listed;
 use decision::name::Name;
-use platform::object::Change;
-use platform::{Error, Kind, Store as _, Version};
 use serde::Deserialize;
+use store::object::Change;
+use store::{Error, Kind, Store as _, Version};
 use tokio::time;
 
 use crate::node::Node;
--- a/rhubarblatchd/src/control/objects.rs
+++ b/rhubarblatchd/src/control/objects.rs
@@ -13,8 +13,8 @@
 use decision::fabric::Fabric;
 use decision::name::Name;
 use decision::owner::Object;
-use platform::{Kind, Store};
 use serde_json::Value;
+use store::{Kind, Store};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{self, Instant};
 
--- a/rhubarblatchd/src/daemon.rs
+++ b/rhubarblatchd/src/daemon.rs
@@ -6,7 +6,7 @@
 
 use peer::listener::Listener;
 use peer::token::Token;
-use platform::client::{self, Client};
+use store::client::{self, Client};
 use tokio::net::TcpListener;
 use tokio::time;
 
@@ -94,14 +94,14 @@
         };
         let store = Client::new(client::Settings {
             address: format!("http://{}", settings.platform.address),
-            token: secrets.platform.map(platform::token::Token::new),
+            token: secrets.platform.map(store::token::Token::new),
             timeout_ms: settings.platform.timeout_ms,
             answer_bytes: STORE_ANSWER_BYTES,
         })?;
         let node = Node::new(settings, store, Token::new(&secrets.peers)?);
 
         let mut served_operators = Parts::default();
-        let token = platform::token::Token::new(secrets.operators);
+        let token = store::token::Token::new(secrets.operators);
         let control = Control::new(node.clone());
         let handler = Operators::new(node.clone(), control.clone(), telemeter.clone());
         let stopped = node.stopped.clone().cancelled_owned();
--- a/rhubarblatchd/src/error.rs
+++ b/rhubarblatchd/src/error.rs
@@ -16,7 +16,7 @@
     Telemetry(#[from] telemetry::Error),
     /// The store's address cannot be used.
     #[error("field \"platform\": {0}")]
-    Platform(#[from] platform::Error),
+    Platform(#[from] store::Error),
     /// The peers' token cannot be used.
     #[error("field \"tokens.peers\": {0}")]
     Token(#[from] peer::token::Error),
--- a/rhubarblatchd/src/follower.rs
+++ b/rhubarblatchd/src/follower.rs
@@ -11,9 +11,9 @@
 };
 use decision::head::{Generation, Hash, Head, Incarnation, item_key};
 use decision::name::Name;
-use platform::object::{Changes, Object};
-use platform::{Error, Kind, Store, Version};
 use serde_json::Value;
+use store::object::{Changes, Object};
+use store::{Error, Kind, Store, Version};
 use tokio::sync::Notify;
 use tokio::time;
 
--- a/rhubarblatchd/src/membership/listing.rs
+++ b/rhubarblatchd/src/membership/listing.rs
@@ -10,7 +10,7 @@
 use decision::head::{Generation, Head, Member};
 use decision::name::Name;
 use decision::roster::{self, Joiner};
-use platform::{Error, Kind, Store as _, Version};
+use store::{Error, Kind, Store as _, Version};
 use tokio::time;
 
 use super::Membership;
--- a/rhubarblatchd/src/node.rs
+++ b/rhubarblatchd/src/node.rs
@@ -8,7 +8,7 @@
 use decision::head::Incarnation;
 use decision::router::{self, Router};
 use peer::token::Token;
-use platform::client::Client;
+use store::client::Client;
 use tokio_util::sync::CancellationToken;
 
 use crate::configuration::{self, Follower, Local, Others};
--- a/rhubarblatchd/src/operators.rs
+++ b/rhubarblatchd/src/operators.rs
@@ -14,7 +14,7 @@
 use operator::status::{Explanation, Fact, Service, Status};
 use operator::writer::{self, Writer};
 use operator::{Handler, Refusal};
-use platform::client::Client;
+use store::client::Client;
 
 use crate::control::Control;
 use crate::node::Node;
--- a/rhubarblatchd/tests/cache.rs
+++ b/rhubarblatchd/tests/cache.rs
@@ -19,7 +19,6 @@
 use decision::target::{Epoch, Phase, Process, Target, Temperature};
 use futures_util::StreamExt as _;
 use peer::token::Token;
-use platform::client::Client;
 use rhubarblatchd::cache;
 use rhubarblatchd::claims::{Alone, Claims};
 use rhubarblatchd::dispatch::Dispatcher;
@@ -27,6 +26,7 @@
 use rhubarblatchd::settings::Settings;
 use serde_json::json;
 use standin::engine::{self, Engine};
+use store::client::Client;
 use tokio::net::TcpListener;
 use tokio::time;
 
@@ -90,7 +90,7 @@
         "timing": { "freshness_ms": 3_600_000 },
     });
     let settings = Settings::parse("settings", &settings.to_string())?;
-    let store = Client::new(platform::client::Settings {
+    let store = Client::new(store::client::Settings {
         address: format!("http://{nowhere}"),
         ..Default::default()
     })?;
--- a/rhubarblatchd/tests/configuration.rs
+++ b/rhubarblatchd/tests/configuration.rs
@@ -12,10 +12,10 @@
 use http::{Request, header};
 use operator::change::{Applied, Change, Edit};
 use operator::status::Status;
-use platform::exchange::{Bounds, Connection, connect, send};
 use rhubarblatchd::Daemon;
 use serde::de::DeserializeOwned;
 use standin::store::{Fault, Store};
+use store::exchange::{Bounds, Connection, connect, send};
 use support::entry;
 use tokio::net::TcpListener;
 
--- a/rhubarblatchd/tests/dispatch/refusals.rs
+++ b/rhubarblatchd/tests/dispatch/refusals.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ::store::{Kind, Store as _, Version};
 use anyhow::Result;
 use bytes::Bytes;
 use decision::claim::{Digest, Record, SHARD_BYTES, Shard, State};
@@ -16,7 +17,6 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
-use platform::{Kind, Store as _, Version};
 use rhubarblatchd::claims::{Alone, Claims};
 use rhubarblatchd::dispatch::Dispatcher;
 use rstest::rstest;
--- a/rhubarblatchd/tests/dispatch/support.rs
+++ b/rhubarblatchd/tests/dispatch/support.rs
@@ -15,7 +15,6 @@
 use decision::target::{Epoch, Phase, Process, Target, Temperature};
 use futures_util::Stream;
 use peer::token::Token;
-use platform::client::Client;
 use rhubarblatchd::claims::{Alone, Claims};
 use rhubarblatchd::dispatch::Dispatcher;
 use rhubarblatchd::node::Node;
@@ -24,6 +23,7 @@
 use standin::engine::{self, Engine};
 use standin::plain::Plain;
 use standin::store::Store;
+use store::client::Client;
 use tokio::net::TcpListener;
 
 /// One entry that routes to the given targets.
@@ -120,10 +120,10 @@
         "timing": { "freshness_ms": 3_600_000 },
     });
     let settings = Settings::parse("settings", &settings.to_string())?;
-    let store = Client::new(platform::client::Settings {
+    let store = Client::new(store::client::Settings {
         address: format!("http://{store}"),
         timeout_ms: 200,
-        ..platform::client::Settings::default()
+        ..store::client::Settings::default()
     })?;
     Ok(Node::new(settings, store, Token::new("peers")?))
 }
--- a/rhubarblatchd/tests/follower.rs
+++ b/rhubarblatchd/tests/follower.rs
@@ -11,11 +11,11 @@
 use decision::name::Name;
 use operator::change::{Change, Edit};
 use operator::writer::{self, Writer};
-use platform::memory::Memory;
-use platform::{Store, Version};
 use rhubarblatchd::Uptime;
 use rhubarblatchd::follower::{Follower, Newer, Peers, Settings, Sink};
 use serde_json::Value;
+use store::memory::Memory;
+use store::{Store, Version};
 use tokio::time;
 
 type Entry = Follower<Memory, Others, Log>;
@@ -160,9 +160,9 @@
     let entries = entries(&store);
     let writer = writer(&store);
     apply(&writer, 0, 1).await;
-    let bodies = store.list::<Value>(platform::Kind::Declaration).await.unwrap().objects;
+    let bodies = store.list::<Value>(store::Kind::Declaration).await.unwrap().objects;
     let (name, version): (&str, Version) = (&bodies[0].name, bodies[0].version);
-    store.delete(platform::Kind::Declaration, name, version).await.unwrap();
+    store.delete(store::Kind::Declaration, name, version).await.unwrap();
     run(&entries[0]);
     time::sleep(Duration::from_secs(60)).await;
     assert_eq!(entries[0].applied().generation(), Generation(0));
--- a/rhubarblatchd/tests/lock.rs
+++ b/rhubarblatchd/tests/lock.rs
@@ -14,11 +14,11 @@
 use decision::share::{Force, Start, View};
 use decision::target::{Epoch, Phase, Process, Target, Temperature};
 use peer::token::Token;
-use platform::client::{self, Client};
 use rhubarblatchd::node::Node;
 use rhubarblatchd::routing::Route;
 use rhubarblatchd::settings::Settings;
 use serde_json::json;
+use store::client::{self, Client};
 
 /// Time after which a step that takes microseconds counts as locked up.
 const LOCKED_UP: Duration = Duration::from_secs(30);
--- a/rhubarblatchd/tests/objects.rs
+++ b/rhubarblatchd/tests/objects.rs
@@ -7,11 +7,11 @@
 
 use decision::fabric::{Fabric, Layout};
 use decision::name::Name;
-use platform::count::Call;
-use platform::memory::Memory;
-use platform::{Kind, Store, Version};
 use rhubarblatchd::Uptime;
 use rhubarblatchd::control::objects::Objects;
+use store::count::Call;
+use store::memory::Memory;
+use store::{Kind, Store, Version};
 use tokio::time;
 
 const ENTRIES: u64 = 360;
--- a/rhubarblatchd/tests/traces.rs
+++ b/rhubarblatchd/tests/traces.rs
@@ -107,11 +107,11 @@
     let declarations: Vec<Declaration> = serde_json::from_value(declarations)?;
     let edit = |it: Declaration| Edit { id: it.id(), expected: None, declaration: Some(it) };
     let edits = declarations.into_iter().map(edit).collect();
-    let client = platform::client::Settings {
+    let client = store::client::Settings {
         address: format!("http://{store}"),
-        ..platform::client::Settings::default()
+        ..store::client::Settings::default()
     };
-    let writer = Writer::new(platform::client::Client::new(client)?, Default::default());
+    let writer = Writer::new(store::client::Client::new(client)?, Default::default());
     writer.change(&Change { base: Generation(0), nonce: 1, edits }).await?;
     Ok(())
 }
--- a/platform/tests/client.rs
+++ b/store/tests/client.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use decision::head::{Generation, Head};
-use platform::client::{Client, Settings};
-use platform::count::Call;
-use platform::token::Token;
-use platform::{Error, Kind, Store, Version};
 use rstest::rstest;
+use store::client::{Client, Settings};
+use store::count::Call;
+use store::token::Token;
+use store::{Error, Kind, Store, Version};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
--- a/platform/tests/memory.rs
+++ b/store/tests/memory.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use platform::memory::Memory;
-use platform::{Error, Kind, Store, Version};
+use store::memory::Memory;
+use store::{Error, Kind, Store, Version};
 
 const WAIT: Duration = Duration::from_secs(1);
 
