Keep replicas whose members are only cut off from the store, and stage weights before forming

Change: entries follow the state of the head; a member whose entry is gone is asked directly and kept while it answers; heads leave (or all other members do) before anything is used again; weights are staged before a replica is formed; an owner without the store yields to a peer that reaches it.

--- a/decision/src/gateway/fleet.rs
+++ b/decision/src/gateway/fleet.rs
@@ -106,15 +106,29 @@
     /// Entries that were gone while they were held.
     missing: HashSet<Arc<str>>,
     evacuated: HashSet<Arc<str>>,
+    /// Instances whose entries are gone, and since when.
+    departed: BTreeMap<Arc<str>, (Time, Arc<Instance>)>,
     changes: u64,
 }
 
+/// Time for which an instance whose entry is gone is remembered.
+const DEPARTED: Duration = Duration::from_secs(15);
+
 #[derive(Clone, Debug)]
 struct Listed {
     instance: Arc<Instance>,
     seen: Time,
 }
 
+/// Whether an instance's entry is in the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It is.
+    Listed,
+    /// It was until a moment ago. The instance may live, cut off from the store.
+    Departed,
+}
+
 impl Fleet {
     /// Replaces the whole list.
     pub fn list(&mut self, now: Time, instances: impl IntoIterator<Item = Instance>) {
@@ -137,14 +151,20 @@
             Change::Put(instance) => {
                 self.missing.remove(&instance.id);
                 let id = instance.id.clone();
+                self.departed.remove(&id);
                 self.instances.insert(id, Listed { instance: Arc::new(instance), seen: now });
             }
             Change::Gone(id) if now < self.hold_until => {
                 self.missing.insert(id);
             }
-            Change::Gone(id) => {
-                self.instances.remove(&id);
-            }
+            Change::Gone(id) => self.depart(now, &id),
+        }
+    }
+
+    fn depart(&mut self, now: Time, id: &Arc<str>) {
+        self.departed.retain(|_, (since, _)| now.since(*since) < DEPARTED);
+        if let Some(listed) = self.instances.remove(id) {
+            self.departed.insert(id.clone(), (now, listed.instance));
         }
     }
 
@@ -161,7 +181,7 @@
         }
         self.changes += 1;
         let missing = std::mem::take(&mut self.missing);
-        missing.iter().for_each(|id| drop(self.instances.remove(id)));
+        missing.iter().for_each(|id| self.depart(now, id));
         true
     }
 
@@ -191,6 +211,19 @@
         self.instances.get(id).map(|it| &it.instance)
     }
 
+    /// The instance called `id`, also if its entry is gone since a moment ago.
+    pub fn recall(&self, id: &str) -> Option<&Arc<Instance>> {
+        self.get(id).or_else(|| self.departed.get(id).map(|(_, it)| it))
+    }
+
+    /// All instances, and those whose entries are gone since a moment ago.
+    pub fn survey(&self, now: Time) -> impl Iterator<Item = (Arc<Instance>, Presence)> {
+        let departed = self.departed.values();
+        let departed = departed.filter(move |(since, _)| now.since(*since) < DEPARTED);
+        let departed = departed.map(|(_, it)| (it.clone(), Presence::Departed));
+        self.iter().cloned().map(|it| (it, Presence::Listed)).chain(departed)
+    }
+
     /// All instances.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Instance>> {
         self.instances.values().map(|it| &it.instance)
@@ -207,30 +240,32 @@
         instance.phase == Phase::Ready && !self.is_evacuated(&instance.failure_domain)
     }
 
-    /// The replicas of `service` that are whole and may get new work.
+    /// The replicas of `service` that may get new work: those whose head serves. Whether they are
+    /// whole is up to their owner, who opens no others and closes those that aren't any more.
     pub fn replicas(&self, service: &Service) -> Vec<Replica> {
         let Some(engine) = &service.engine else { return Vec::new() };
-        let mut groups: HashMap<(Arc<str>, u64), Vec<&Arc<Instance>>> = HashMap::new();
-        for instance in self.iter().filter(|it| it.service == service.name) {
+        let mut members: HashMap<(&str, u64), Vec<(u32, Arc<str>)>> = HashMap::new();
+        let all = self.instances.values().map(|it| &it.instance);
+        for instance in all.chain(self.departed.values().map(|(_, it)| it)) {
             let Some(member) = &instance.member else { continue };
-            groups.entry((member.group.clone(), member.epoch)).or_default().push(instance);
+            let key = (&*member.group, member.epoch);
+            members.entry(key).or_default().push((member.rank, instance.id.clone()));
         }
-        let whole = groups.into_iter().filter_map(|((group, epoch), mut members)| {
-            members.sort_by_key(|it| it.member.as_ref().map(|it| it.rank));
-            let head = members.first()?;
-            let state = head.member.as_ref()?;
+        let heads = self.iter().filter(|it| it.service == service.name && self.is_open(it));
+        let replicas = heads.filter_map(|head| {
+            let member = head.member.as_ref()?;
+            let serves = member.rank == 0 && member.state == State::Open;
             let model = engine.model(head.model.as_deref()?)?;
-            let open = state.rank == 0 && state.state == State::Open && self.is_open(head);
-            let ready = members.iter().all(|it| it.phase == Phase::Ready);
-            let whole = open && ready && members.len() == model.size;
-            whole.then(|| Replica {
-                group,
-                epoch,
+            let mut members = members.get(&(&*member.group, member.epoch))?.clone();
+            members.sort();
+            serves.then(|| Replica {
+                group: member.group.clone(),
+                epoch: member.epoch,
                 model: model.name.clone(),
                 pace: model.pace,
-                members: members.iter().map(|it| it.id.clone()).collect(),
+                members: members.into_iter().map(|(_, id)| id).collect(),
             })
         });
-        whole.collect()
+        replicas.collect()
     }
 }
--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use crate::gateway::engine::{Engine, Model};
-use crate::gateway::fleet::{Instance, Phase, State};
+use crate::gateway::fleet::{Instance, Member, Phase, Presence, State};
 use crate::prelude::*;
 
 /// Epochs of one owner. The owner's fencing token is the part above.
@@ -29,6 +29,11 @@
     pub load_window: Duration,
     /// Time without a new instance after which the first replicas are formed at a first start.
     pub settle: Duration,
+    /// Time for which an instance whose entry is gone counts as living after it answered.
+    pub vouched: Duration,
+    /// Time after which a member that said it has left is believed no more, if the list shows
+    /// something else.
+    pub left: Duration,
     /// Time for which a dead instance is left alone before it counts as living again.
     pub dead: Duration,
 }
@@ -106,8 +111,13 @@
     groups: BTreeMap<Key, Group>,
     sent: HashMap<Arc<str>, Sent>,
     dead: HashMap<Arc<str>, Dead>,
+    /// Instances that answered, and when.
+    vouched: HashMap<Arc<str>, Dead>,
+    /// Members that said they have left, before the list shows it.
+    left: HashMap<(Arc<str>, Key), Time>,
     loads: VecDeque<Time>,
     loading: HashMap<Arc<str>, Time>,
+    departed: HashSet<Arc<str>>,
     load_limit: usize,
     loads_free: bool,
     known: usize,
@@ -154,12 +164,36 @@
             slack: Duration::from_secs(4),
             load_window: Duration::from_secs(5),
             settle: Duration::from_millis(400),
+            vouched: Duration::from_millis(1_500),
+            left: Duration::from_millis(1_500),
             dead: Duration::from_secs(4),
         }
     }
 }
 
-type Instances<'a> = BTreeMap<&'a str, &'a Instance>;
+/// The instances of the service, by identifier.
+#[derive(Debug, Default)]
+struct Instances<'a> {
+    known: BTreeMap<&'a str, (&'a Instance, Presence)>,
+}
+
+impl<'a> Instances<'a> {
+    /// The instance called `id`, also if its entry is gone.
+    fn recall(&self, id: &str) -> Option<&'a Instance> {
+        self.known.get(id).map(|(it, _)| *it)
+    }
+
+    /// The instance called `id`, if it is listed.
+    fn get(&self, id: &str) -> Option<&'a Instance> {
+        let (instance, presence) = self.known.get(id)?;
+        (*presence == Presence::Listed).then_some(*instance)
+    }
+
+    /// All that are listed.
+    fn listed(&self) -> impl Iterator<Item = &'a Instance> {
+        self.known.values().filter(|(_, it)| *it == Presence::Listed).map(|(it, _)| *it)
+    }
+}
 
 impl Formation {
     /// Nothing formed yet, for the owner whose fencing token is `fence`.
@@ -171,8 +205,11 @@
             groups: BTreeMap::new(),
             sent: HashMap::new(),
             dead: HashMap::new(),
+            vouched: HashMap::new(),
+            left: HashMap::new(),
             loads: VecDeque::new(),
             loading: HashMap::new(),
+            departed: HashSet::new(),
             load_limit: 0,
             loads_free: false,
             known: 0,
@@ -197,8 +234,24 @@
     }
 
     /// Notes that an instance can be reached.
-    pub fn found(&mut self, id: &str) {
+    pub fn found(&mut self, now: Time, id: &Arc<str>, born: u64) {
         self.dead.remove(id);
+        let until = now + self.settings.vouched;
+        self.vouched.insert(id.clone(), Dead { until, born });
+    }
+
+    /// Notes that an instance took an order, or had nothing to do for it.
+    pub fn done(&mut self, now: Time, id: &Arc<str>, order: &Order) {
+        if let Order::Leave { group, epoch } = order {
+            self.left.insert((id.clone(), (group.clone(), *epoch)), now);
+        }
+    }
+
+    /// Members of replicas whose entries are gone, and who must answer now and then.
+    pub fn doubtful(&self) -> Vec<Arc<str>> {
+        let groups = self.groups.values().filter(|it| it.stage == Stage::Whole);
+        let members = groups.flat_map(|it| it.members.iter());
+        members.filter(|it| self.departed.contains(*it)).cloned().collect()
     }
 
     /// Whether the instance is known not to be reachable.
@@ -220,22 +273,21 @@
         &mut self,
         now: Time,
         engine: &Engine,
-        instances: impl IntoIterator<Item = &'a Instance>,
+        instances: impl IntoIterator<Item = (&'a Instance, Presence)>,
     ) -> Vec<Action> {
-        let all: Instances<'_> = instances.into_iter().map(|it| (&*it.id, it)).collect();
-        self.dead.retain(|_, it| it.until > now);
-        self.sent.retain(|id, _| all.contains_key(&**id));
-        self.loading.retain(|id, until| *until > now && all.contains_key(&**id));
+        let known = instances.into_iter().map(|it| (&*it.0.id, it)).collect();
+        let all = Instances { known };
+        self.forget(now, &all);
         let window = self.settings.load_window.as_secs_f64();
         self.load_limit = ((engine.load_rate * window) as usize).max(MIN_LOADS);
         let mut actions = Vec::new();
         self.adopt(now, engine, &all);
         self.advance(now, engine, &all, &mut actions);
         let mut free = self.free(now, &all, &mut actions);
-        if all.len() > self.known {
+        if all.known.len() > self.known {
             self.grown = now;
         }
-        self.known = all.len();
+        self.known = all.known.len();
         if self.loads_free && now.since(self.grown) < self.settings.settle {
             return actions;
         }
@@ -244,13 +296,33 @@
         actions
     }
 
+    /// Drops what has lapsed, and brings up to date which entries are gone.
+    fn forget(&mut self, now: Time, all: &Instances<'_>) {
+        self.dead.retain(|_, it| it.until > now);
+        self.vouched.retain(|_, it| it.until > now);
+        let left = self.settings.left;
+        self.left.retain(|_, at| now.since(*at) < left);
+        self.sent.retain(|id, _| all.recall(id).is_some());
+        self.loading.retain(|id, until| *until > now && all.get(id).is_some());
+        let departed = all.known.iter().filter(|(_, (_, it))| *it == Presence::Departed);
+        let departed: HashSet<Arc<str>> = departed.map(|(_, (it, _))| it.id.clone()).collect();
+        for id in departed.difference(&self.departed) {
+            // Its entry went a moment ago: it has the time of one answer to show that it lives.
+            let born = all.recall(id).map(|it| it.born).unwrap_or_default();
+            let until = now + self.settings.vouched;
+            self.vouched.entry(id.clone()).or_insert(Dead { until, born });
+        }
+        self.departed = departed;
+    }
+
     /// Takes over the replicas that are whole by what their members say.
     fn adopt(&mut self, now: Time, engine: &Engine, all: &Instances<'_>) {
         let mut seen: BTreeMap<Key, Vec<&Instance>> = BTreeMap::new();
-        for instance in all.values() {
+        for instance in all.listed() {
             let Some(member) = &instance.member else { continue };
             let key = (member.group.clone(), member.epoch);
-            if !self.groups.contains_key(&key) {
+            let left = self.left.contains_key(&(instance.id.clone(), key.clone()));
+            if !left && !self.groups.contains_key(&key) {
                 seen.entry(key).or_default().push(instance);
             }
         }
@@ -259,22 +331,25 @@
             let Some(model) = members[0].model.as_deref().and_then(|it| engine.model(it)) else {
                 continue;
             };
-            let ranked = members.iter().enumerate().all(|(place, it)| {
-                it.member.as_ref().is_some_and(|it| it.rank as usize == place)
-                    && !self.is_dead(now, it)
-            });
-            let sound = |it: &State| matches!(it, State::Joining | State::Ready | State::Open);
-            let states = members.iter().filter_map(|it| it.member.as_ref().map(|it| it.state));
-            if !ranked || members.len() != model.size || !states.clone().all(|it| sound(&it)) {
+            let states: Vec<(u32, State)> = members
+                .iter()
+                .filter_map(|it| it.member.as_ref().map(|it| (it.rank, it.state)))
+                .collect();
+            let full = states.iter().enumerate().all(|(place, (rank, _))| *rank as usize == place)
+                && states.len() == model.size;
+            let sound = |(_, it): &(u32, State)| !matches!(it, State::Closing | State::Broken);
+            // An open head was opened by an owner that saw all members ready.
+            let open = states.first() == Some(&(0, State::Open));
+            if !open && !(full && states.iter().all(sound)) {
                 continue;
             }
-            let whole = states.clone().all(|it| it != State::Joining);
+            let joining = states.iter().any(|(_, it)| *it == State::Joining);
             let group = Group {
                 model: model.name.clone(),
                 members: members.iter().map(|it| it.id.clone()).collect(),
                 born: members.iter().map(|it| it.born).collect(),
                 since: now,
-                stage: if whole { Stage::Whole } else { Stage::Forming },
+                stage: if open || !joining { Stage::Whole } else { Stage::Forming },
             };
             self.groups.insert(key, group);
         }
@@ -314,12 +389,13 @@
     ) -> bool {
         let Some(model) = engine.model(&group.model) else { return false };
         let limit = model.load * 3 + self.settings.slack;
-        let lost = group.places().any(|(id, born)| !self.is_sound(now, all, id, born));
+        let lost =
+            group.places().any(|(id, born)| !self.is_sound(now, all, id, born, Presence::Listed));
         if lost || now.since(group.since) > limit {
             group.stage = Stage::Ending;
             return true;
         }
-        let states: Vec<_> = group.members.iter().map(|id| state(all, id, key)).collect();
+        let states: Vec<_> = group.members.iter().map(|id| self.state(all, id, key)).collect();
         if states.iter().all(|it| matches!(it, Some(State::Ready | State::Open))) {
             group.stage = Stage::Whole;
             return self.whole(now, all, key, group, actions);
@@ -346,16 +422,17 @@
         group: &mut Group,
         actions: &mut Vec<Action>,
     ) -> bool {
+        let head = group.members[0].clone();
         let lost = group.places().any(|(id, born)| {
-            let sound = self.is_sound(now, all, id, born);
-            !sound || matches!(state(all, id, key), None | Some(State::Broken))
+            let least = if *id == head { Presence::Listed } else { Presence::Departed };
+            let sound = self.is_sound(now, all, id, born, least);
+            !sound || matches!(self.state(all, id, key), None | Some(State::Broken))
         });
         if lost {
             group.stage = Stage::Ending;
             return true;
         }
-        let head = group.members[0].clone();
-        if state(all, &head, key) == Some(State::Ready) {
+        if self.state(all, &head, key) == Some(State::Ready) {
             let order = Order::Open { group: key.0.clone(), epoch: key.1 };
             self.send(now, all, &head, order, actions);
         }
@@ -363,6 +440,9 @@
     }
 
     /// Ends a replica. Returns whether it still has to be kept, since its head may serve.
+    ///
+    /// Its members may only be used elsewhere once the head has left, or, where the head can't be
+    /// reached and may live behind a cut, once all other members have left it.
     fn ending(
         &mut self,
         now: Time,
@@ -374,33 +454,31 @@
         if group.stage != Stage::Ending {
             return true;
         }
+        let (name, epoch) = (key.0.clone(), key.1);
         let head = &group.members[0];
-        let (group_name, epoch) = (key.0.clone(), key.1);
-        let reachable = all.get(&**head).is_some_and(|it| !self.is_dead(now, it));
-        if reachable {
-            let serving = matches!(state(all, head, key), Some(State::Open | State::Closing));
-            if serving {
-                let whole = group.places().all(|(id, born)| {
-                    let same = all.get(&**id).is_some_and(|it| it.born == born);
-                    same && !all.get(&**id).is_some_and(|it| self.is_dead(now, it))
-                });
-                let mode = if whole { Close::Wait } else { Close::Cut };
-                let order = Order::Close { group: group_name, epoch, mode };
-                self.send(now, all, head, order, actions);
-            }
-            return serving;
+        if self.is_reachable(now, all, head) {
+            let state = self.state(all, head, key);
+            let whole = group.places().all(|(id, born)| self.is_present(now, all, id, born));
+            let order = match state {
+                Some(State::Open | State::Closing) if whole => {
+                    Order::Close { group: name, epoch, mode: Close::Wait }
+                }
+                Some(_) => Order::Leave { group: name, epoch },
+                None => return false,
+            };
+            self.send(now, all, head, order, actions);
+            return true;
         }
-        // The head may live behind a cut. It can't serve once its members have left.
-        let mut members = 0;
+        let mut staying = false;
         for id in &group.members[1..] {
-            if state(all, id, key).is_none() || all.get(&**id).is_some_and(|it| self.is_dead(now, it)) {
+            if self.state(all, id, key).is_none() || !self.is_reachable(now, all, id) {
                 continue;
             }
-            members += 1;
+            staying = true;
             let order = Order::Leave { group: key.0.clone(), epoch };
             self.send(now, all, id, order, actions);
         }
-        members > 0
+        staying
     }
 
     /// The instances that belong to no replica, by fabric domain.
@@ -412,35 +490,30 @@
     ) -> BTreeMap<Arc<str>, Vec<&'a Instance>> {
         let taken: HashSet<&str> =
             self.groups.values().flat_map(|it| it.members.iter().map(|it| &**it)).collect();
-        let mut serving = Vec::new();
+        let mut strays = Vec::new();
         let mut free: BTreeMap<Arc<str>, Vec<&Instance>> = BTreeMap::new();
-        for instance in all.values() {
+        for instance in all.listed() {
             let Some(fabric) = &instance.fabric else { continue };
             let usable = instance.phase == Phase::Ready && !self.is_dead(now, instance);
             if !usable || taken.contains(&*instance.id) {
                 continue;
             }
-            // A stray head is told to stop, a stray member to leave, before it is used again.
-            if let Some(member) = &instance.member {
+            // What is left of a replica that isn't known leaves it before it is used again.
+            let left = |it: &Member| {
+                let key = (it.group.clone(), it.epoch);
+                self.left.contains_key(&(instance.id.clone(), key))
+            };
+            if let Some(member) = &instance.member
+                && !left(member)
+                && (member.rank > 0 || matches!(member.state, State::Open | State::Closing))
+            {
                 let (group, epoch) = (member.group.clone(), member.epoch);
-                let order = match member.state {
-                    State::Open | State::Closing => {
-                        Order::Close { group, epoch, mode: Close::Cut }
-                    }
-                    _ if member.rank > 0 && is_head_serving(all, member) => {
-                        Order::Leave { group, epoch }
-                    }
-                    _ => {
-                        free.entry(fabric.clone()).or_default().push(instance);
-                        continue;
-                    }
-                };
-                serving.push((instance.id.clone(), order));
+                strays.push((instance.id.clone(), Order::Leave { group, epoch }));
                 continue;
             }
             free.entry(fabric.clone()).or_default().push(instance);
         }
-        for (id, order) in serving {
+        for (id, order) in strays {
             self.send(now, all, &id, order, actions);
         }
         free
@@ -463,7 +536,7 @@
             let mut best: Option<(f64, &Model, Arc<str>)> = None;
             for (fabric, instances) in free.iter() {
                 for model in engine.models.iter().filter(|it| it.size <= instances.len()) {
-                    let Some(cost) = self.cost(now, model, &counts, instances) else { continue };
+                    let Some(cost) = self.cost(model, &counts, instances) else { continue };
                     if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                         best = Some((cost, model, fabric.clone()));
                     }
@@ -476,23 +549,21 @@
     }
 
     /// What speaks against forming `model` of `instances`: replicas that there are already, by
-    /// the model's share, and the wait for weights. None if the loads would pass the limit.
+    /// the model's share. None if weights are missing, unless loads are free: they are staged
+    /// first, so that the instances stay usable meanwhile.
     fn cost(
-        &mut self,
-        now: Time,
+        &self,
         model: &Model,
         counts: &HashMap<Arc<str>, usize>,
         instances: &[&Instance],
     ) -> Option<f64> {
-        let present = instances.iter().filter(|it| has(it, &model.name)).count();
-        let loads = model.size.saturating_sub(present);
-        if loads > 0 && !self.may_load(now, loads) {
+        let staged = instances.iter().filter(|it| has(it, &model.name)).count();
+        if staged < model.size && !self.loads_free {
             return None;
         }
         let count = counts.get(&model.name).copied().unwrap_or_default() as f64;
         let wanted = model.share / model.size as f64;
-        let wait = if loads > 0 { model.load } else { model.warm };
-        Some((count + 1.0) / wanted.max(f64::MIN_POSITIVE) * (1.0 + wait.as_secs_f64() / 100.0))
+        Some((count + 1.0) / wanted.max(f64::MIN_POSITIVE))
     }
 
     fn take(
@@ -505,7 +576,13 @@
     ) {
         instances.sort_by_key(|it| {
             let member = it.model.as_ref() == Some(&model.name);
-            let preference = if member { 0 } else if has(it, &model.name) { 1 } else { 2 };
+            let preference = if member {
+                0
+            } else if has(it, &model.name) {
+                1
+            } else {
+                2
+            };
             (preference, it.warmup_left, it.id.clone())
         });
         let chosen: Vec<&Instance> = instances.drain(..model.size).collect();
@@ -537,7 +614,8 @@
         self.groups.insert((group, epoch), formed);
     }
 
-    /// Stages weights on spare instances, so that healing needs no load from the weight store.
+    /// Stages weights on free instances: what is missed for one more replica, and else what heals
+    /// the replicas around them, so that neither needs a load from the weight store then.
     fn stage(
         &mut self,
         now: Time,
@@ -550,27 +628,17 @@
             return;
         }
         for (fabric, spares) in free {
-            let mut covered: HashMap<&str, usize> = HashMap::new();
-            let mut idle = Vec::new();
-            for spare in spares {
-                match spare.staged.first() {
-                    Some(model) => *covered.entry(model).or_default() += 1,
-                    None => idle.push(*spare),
-                }
-            }
-            for spare in idle {
-                if self.loading.contains_key(&spare.id) {
+            for (id, model) in self.wanted(engine, all, fabric, spares) {
+                if self.loading.contains_key(&id) {
                     continue;
                 }
-                let Some(model) = self.needed(engine, all, fabric, &covered) else { continue };
                 if !self.may_load(now, 1) {
                     return;
                 }
                 self.loads.push_back(now);
-                self.loading.insert(spare.id.clone(), now + model.load);
-                *covered.entry(&model.name).or_default() += 1;
+                self.loading.insert(id.clone(), now + model.load);
                 let order = Order::Stage { model: model.name.clone() };
-                self.send(now, all, &spare.id, order, actions);
+                self.send(now, all, &id, order, actions);
             }
         }
     }
@@ -579,6 +647,41 @@
         group.members.iter().any(|it| self.loading.get(it).is_some_and(|until| *until > now))
     }
 
+    /// Which of the free instances of a fabric domain should load which model.
+    fn wanted<'a>(
+        &self,
+        engine: &'a Engine,
+        all: &Instances<'_>,
+        fabric: &Arc<str>,
+        spares: &[&Instance],
+    ) -> Vec<(Arc<str>, &'a Model)> {
+        let staged = |model: &Model| spares.iter().filter(|it| has(it, &model.name)).count();
+        let possible = engine.models.iter().filter(|it| it.size <= spares.len());
+        if let Some(model) = possible.min_by_key(|it| it.size.saturating_sub(staged(it))) {
+            let others = spares.iter().filter(|it| !has(it, &model.name));
+            let missing = model.size.saturating_sub(staged(model));
+            return others.take(missing).map(|it| (it.id.clone(), model)).collect();
+        }
+        let mut goal: HashMap<&str, usize> = HashMap::new();
+        for _ in spares {
+            let Some(model) = self.needed(engine, all, fabric, &goal) else { break };
+            *goal.entry(&model.name).or_default() += 1;
+        }
+        let mut idle = Vec::new();
+        for spare in spares {
+            let model = spare.staged.first().and_then(|it| goal.get_mut(&**it));
+            match model {
+                Some(left) if *left > 0 => *left -= 1,
+                _ => idle.push(spare.id.clone()),
+            }
+        }
+        let short = engine.models.iter().flat_map(|model| {
+            let count = goal.get(&*model.name).copied().unwrap_or_default();
+            std::iter::repeat_n(model, count)
+        });
+        idle.into_iter().zip(short).collect()
+    }
+
     /// The model whose replicas in `fabric` have the fewest spares for their instances.
     fn needed<'a>(
         &self,
@@ -590,7 +693,7 @@
         let exposed = |model: &Model| {
             let groups = self.groups.values().filter(|it| it.model == model.name);
             let here = groups.filter(|it| {
-                all.get(&*it.members[0]).is_some_and(|it| it.fabric.as_ref() == Some(fabric))
+                all.get(&it.members[0]).is_some_and(|it| it.fabric.as_ref() == Some(fabric))
             });
             here.count() * model.size
         };
@@ -619,7 +722,7 @@
         order: Order,
         actions: &mut Vec<Action>,
     ) {
-        let Some(instance) = all.get(&**id) else { return };
+        let Some(instance) = all.recall(id) else { return };
         let repeat = self.settings.repeat;
         let recent = |it: &Sent| it.order == order && now.since(it.at) < repeat;
         if self.sent.get(id).is_some_and(recent) {
@@ -629,11 +732,41 @@
         actions.push(Action { id: id.clone(), address: instance.address, order });
     }
 
-    /// Whether a member is where it was, alive, and doesn't leave.
-    fn is_sound(&self, now: Time, all: &Instances<'_>, id: &str, born: u64) -> bool {
-        let Some(instance) = all.get(id) else { return false };
-        let stays = instance.phase == Phase::Ready && instance.born == born;
-        stays && !self.is_dead(now, instance)
+    fn is_reachable(&self, now: Time, all: &Instances<'_>, id: &str) -> bool {
+        let Some(instance) = all.recall(id) else { return false };
+        !self.is_dead(now, instance) && (all.get(id).is_some() || self.is_vouched(instance))
+    }
+
+    fn is_vouched(&self, instance: &Instance) -> bool {
+        self.vouched.get(&instance.id).is_some_and(|it| it.born == instance.born)
+    }
+
+    /// Whether a member is the one that it was and can be reached.
+    fn is_present(&self, now: Time, all: &Instances<'_>, id: &str, born: u64) -> bool {
+        self.is_reachable(now, all, id) && all.recall(id).is_some_and(|it| it.born == born)
+    }
+
+    /// Whether a member is where it was, alive, and doesn't leave. A member may be cut off from
+    /// the list for a while if `least` says so.
+    fn is_sound(
+        &self,
+        now: Time,
+        all: &Instances<'_>,
+        id: &str,
+        born: u64,
+        least: Presence,
+    ) -> bool {
+        let listed = all.get(id).is_some_and(|it| it.phase == Phase::Ready);
+        let departed = least == Presence::Departed && all.get(id).is_none();
+        (listed || departed) && self.is_present(now, all, id, born)
+    }
+
+    /// What is known of `id` as a member of the replica `key`.
+    fn state(&self, all: &Instances<'_>, id: &Arc<str>, key: &Key) -> Option<State> {
+        let member = all.recall(id)?.member.as_ref()?;
+        let here = member.group == key.0 && member.epoch == key.1;
+        let left = self.left.contains_key(&(id.clone(), key.clone()));
+        (here && !left).then_some(member.state)
     }
 }
 
@@ -643,20 +776,7 @@
     }
 }
 
-/// What the list says of `id` as a member of the replica `key`.
-fn state(all: &Instances<'_>, id: &str, key: &Key) -> Option<State> {
-    let member = all.get(id)?.member.as_ref()?;
-    (member.group == key.0 && member.epoch == key.1).then_some(member.state)
-}
-
 /// Whether the weights of `model` are on the instance's host.
 fn has(instance: &Instance, model: &str) -> bool {
     instance.staged.iter().any(|it| &**it == model)
 }
-
-fn is_head_serving(all: &Instances<'_>, member: &crate::gateway::fleet::Member) -> bool {
-    all.values().filter_map(|it| it.member.as_ref()).any(|it| {
-        let same = it.group == member.group && it.epoch == member.epoch && it.rank == 0;
-        same && matches!(it.state, State::Open | State::Closing)
-    })
-}
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -149,9 +149,7 @@
         Run::Ran => {}
     }
     match whole(body).await {
-        Some(body) if !answer.encoded => {
-            (Attempt::Answered(Box::new(head), body), End::Answered)
-        }
+        Some(body) if !answer.encoded => (Attempt::Answered(Box::new(head), body), End::Answered),
         Some(_) => (Attempt::Unknown("answer is encoded"), End::Failed),
         None => (Attempt::Unknown("answer broke off"), End::Failed),
     }
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -108,7 +108,8 @@
     let arrived = shared.now();
     let (mut parts, body) = request.into_parts();
     let limits = shared.knowledge().table.limits();
-    let size: usize = parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    let size: usize =
+        parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
     if size + parts.uri.path().len() > limits.head_bytes {
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         return refuse(shared, &Head::default(), &Refusal::new(status, "head is too large"));
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use decision::gateway::balance::hash;
-use decision::gateway::fleet::Instance;
+use decision::gateway::fleet::{Instance, Presence};
 use decision::gateway::formation::{self, Action, Formation, Order};
 use decision::prelude::*;
 use http::StatusCode;
@@ -35,14 +35,14 @@
 /// Time by which an entry waits longer that hears less than half of the others.
 const MINORITY: Duration = Duration::from_secs(4);
 
-/// Age of the own list of instances from which on a peer with a newer one had better own them.
-const STALE: Duration = Duration::from_millis(2_500);
+/// Time without the store after which a peer that reaches it had better own the replicas.
+const STALE: Duration = Duration::from_millis(1_200);
 
 /// Longest time for an order or a question to an instance.
 const ORDER: Duration = Duration::from_millis(900);
 
 /// Longest time for a question whether an instance lives.
-const PROBE: Duration = Duration::from_millis(250);
+const PROBE: Duration = Duration::from_millis(180);
 
 /// Pause between two questions to one instance.
 const PROBE_PAUSE: Duration = Duration::from_millis(400);
@@ -68,6 +68,7 @@
     fence: Option<u64>,
     formations: HashMap<Arc<str>, Formation>,
     vacant_since: Time,
+    store_at: Time,
     probes: HashMap<Arc<str>, Probe>,
     results: mpsc::Sender<Result>,
 }
@@ -88,6 +89,7 @@
         fence: None,
         formations: HashMap::new(),
         vacant_since,
+        store_at: vacant_since,
         probes: HashMap::new(),
         results,
     };
@@ -125,14 +127,11 @@
         self.shared.stopping.load(std::sync::atomic::Ordering::Relaxed)
     }
 
-    fn is_stale(&self, now: Time) -> bool {
-        let own = self.shared.knowledge().fleet_at.map(|it| now.since(it));
-        let wait = crate::follow::LONG_WAIT;
-        let peers = self.shared.peers.freshest(now);
-        match (own, peers) {
-            (Some(own), Some(peers)) => own > wait + STALE && peers < wait,
-            _ => false,
+    fn is_stale(&mut self, now: Time) -> bool {
+        if self.shared.is_store_up() {
+            self.store_at = now;
         }
+        now.since(self.store_at) > STALE && self.shared.peers.any_with_store(now)
     }
 
     fn may_take(&self, now: Time) -> bool {
@@ -177,8 +176,7 @@
             },
             None => (When::Absent, 1),
         };
-        let lease =
-            Lease { holder: self.shared.settings.instance.clone(), life: self.life, fence };
+        let lease = Lease { holder: self.shared.settings.instance.clone(), life: self.life, fence };
         let Ok(value) = serde_json::to_value(&lease) else { return };
         let write = Write { kind: Kind::Leases, name: LEASE, when, value };
         let put = platform.put(store, &write);
@@ -213,10 +211,11 @@
         let (table, instances) = {
             let mut knowledge = self.shared.knowledge();
             knowledge.fleet.expire(now);
-            let instances: Vec<Arc<Instance>> = knowledge.fleet.iter().cloned().collect();
+            let instances: Vec<(Arc<Instance>, Presence)> = knowledge.fleet.survey(now).collect();
             (knowledge.table.clone(), instances)
         };
         let seen = self.shared.seen.load(std::sync::atomic::Ordering::Relaxed);
+        let mut doubtful = Vec::new();
         for service in table.services() {
             let Some(engine) = &service.engine else { continue };
             let formation = self
@@ -224,13 +223,25 @@
                 .entry(service.name.clone())
                 .or_insert_with(|| Formation::new(fence, formation::Settings::default()));
             formation.free_loads(!seen && self.shared.settings.first_start);
-            let of = instances.iter().filter(|it| it.service == service.name).map(|it| &**it);
-            let actions = formation.plan(now, engine, of);
+            let of = instances.iter().filter(|(it, _)| it.service == service.name);
+            let actions = formation.plan(now, engine, of.map(|(it, presence)| (&**it, *presence)));
+            doubtful.extend(formation.doubtful());
             for action in actions {
-                let born = instances.iter().find(|it| it.id == action.id).map(|it| it.born);
+                let born = instances.iter().find(|(it, _)| it.id == action.id);
+                let born = born.map(|(it, _)| it.born);
                 self.order(fence, action, born.unwrap_or_default());
             }
         }
+        doubtful.into_iter().for_each(|id| self.ask(now, id));
+    }
+
+    /// Asks an instance whether it lives, unless it was asked a moment ago.
+    fn ask(&mut self, now: Time, id: Arc<str>) {
+        let probe = self.probes.entry(id.clone()).or_default();
+        if now.since(probe.at) >= PROBE_PAUSE || probe.at == Time::ZERO {
+            probe.at = now;
+            self.probe(id);
+        }
     }
 
     /// Asks the members of suspect replicas whether they live.
@@ -245,22 +256,17 @@
             .collect();
         drop(balance);
         for id in suspects.into_iter().flatten() {
-            let probe = self.probes.entry(id.clone()).or_default();
-            if now.since(probe.at) < PROBE_PAUSE && probe.at > Time::ZERO {
-                continue;
-            }
-            probe.at = now;
-            self.probe(id);
+            self.ask(now, id);
         }
         self.probes.retain(|_, it| now.since(it.at) < PROBE_PAUSE * 5);
     }
 
     fn probe(&self, id: Arc<str>) {
-        let Some(instance) = self.shared.knowledge().fleet.get(&id).cloned() else { return };
+        let Some(instance) = self.shared.knowledge().fleet.recall(&id).cloned() else { return };
         let (shared, results) = (self.shared.clone(), self.results.clone());
         tokio::spawn(async move {
             let request = shared.platform.probe(instance.address);
-            let call = shared.targets.call(instance.address, request, PROBE, MAX_ANSWER).await;
+            let call = shared.targets.ask(instance.address, request, PROBE, MAX_ANSWER).await;
             let alive = call.is_ok();
             // Without a receiver the process ends.
             let _sent = results.send(Result::Probe { id, born: instance.born, alive }).await;
@@ -293,18 +299,24 @@
         let now = self.shared.now();
         match result {
             Result::Probe { id, born, alive } => self.probed(now, &id, born, alive),
-            Result::Order { id, born, taken, connected, .. } => {
+            Result::Order { id, born, order, taken, connected } => {
                 if taken == Some(Taken::Fenced) {
                     return self.give_up("an instance has seen a later owner");
                 }
                 for formation in self.formations.values_mut() {
                     match taken {
-                        Some(Taken::Yes) => formation.found(&id),
+                        Some(Taken::Yes | Taken::Conflict) => {
+                            formation.found(now, &id, born);
+                            formation.done(now, &id, &order);
+                        }
                         Some(_) => formation.refused(&id),
                         None if !connected => formation.lost(now, &id, born),
                         None => {}
                     }
                 }
+                if taken.is_none() && connected {
+                    self.ask(now, id);
+                }
             }
         }
     }
@@ -315,7 +327,7 @@
         let lost = probe.misses >= MISSES;
         for formation in self.formations.values_mut() {
             match (alive, lost) {
-                (true, _) => formation.found(id),
+                (true, _) => formation.found(now, id, born),
                 (false, true) => formation.lost(now, id, born),
                 (false, false) => {}
             }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -36,7 +36,7 @@
     name: String,
     life: u64,
     owner: Option<u64>,
-    store_ms: Option<u32>,
+    store: bool,
     seen: bool,
     leaving: bool,
     loads: Vec<(u64, u32, u32)>,
@@ -60,7 +60,7 @@
     heard: Time,
     life: u64,
     owner: Option<u64>,
-    store: Option<Duration>,
+    store: bool,
     leaving: bool,
     suspects: Vec<u64>,
 }
@@ -85,11 +85,10 @@
         alive.filter_map(|it| it.owner).max()
     }
 
-    /// The least age of a living peer's list of instances.
-    pub fn freshest(&self, now: Time) -> Option<Duration> {
+    /// Whether a living peer reaches the store.
+    pub fn any_with_store(&self, now: Time) -> bool {
         let state = self.state();
-        let alive = state.peers.values().filter(|it| it.is_alive(now));
-        alive.filter_map(|it| it.store).min()
+        state.peers.values().any(|it| it.is_alive(now) && it.store && !it.leaving)
     }
 
     /// How many living peers suspect each target, by its hash.
@@ -145,19 +144,16 @@
 }
 
 fn word<P: Platform>(shared: &Shared<P>, life: u64) -> Word {
-    let now = shared.now();
-    let fleet_at = shared.knowledge().fleet_at;
     let balance = shared.balance();
     let loads = balance.loads().into_iter().take(MAX_ITEMS);
     let loads = loads.map(|(target, load)| (target, load.running, load.prefill)).collect();
     let suspects = balance.suspects().take(MAX_ITEMS).map(|it| hash(&it.id)).collect();
     drop(balance);
-    let age = |it: Time| u32::try_from(now.since(it).as_millis()).unwrap_or(u32::MAX);
     Word {
         name: shared.settings.instance.clone(),
         life,
         owner: shared.peers.state().own,
-        store_ms: fleet_at.map(age),
+        store: shared.is_store_up(),
         seen: shared.seen.load(Ordering::Relaxed),
         leaving: shared.stopping.load(Ordering::Relaxed),
         loads,
@@ -193,7 +189,6 @@
     if word.seen && !shared.seen.swap(true, Ordering::Relaxed) {
         shared.changed.notify_waiters();
     }
-    let store = word.store_ms.map(|it| Duration::from_millis(u64::from(it)));
     let mut state = shared.peers.state();
     let known = state.peers.get(&word.name);
     let news = known.is_none_or(|it| it.suspects != word.suspects || it.life != word.life);
@@ -201,7 +196,7 @@
         heard: now,
         life: word.life,
         owner: word.owner,
-        store,
+        store: word.store,
         leaving: word.leaving,
         suspects: word.suspects,
     };
--- a/gateway/src/pool.rs
+++ b/gateway/src/pool.rs
@@ -137,7 +137,28 @@
                 }),
             }
         };
-        timeout(time, exchange).await.unwrap_or(Err(Call::Timeout))
+        let answer = timeout(time, exchange).await;
+        if answer.is_err() {
+            // The other connections to a silent address may be silent for good.
+            self.shared.idle().remove(&address);
+        }
+        answer.unwrap_or(Err(Call::Timeout))
+    }
+
+    /// As [`Pool::call`], on a connection of its own, which is closed afterwards.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Pool::call`].
+    pub async fn ask(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        time: Duration,
+        limit: usize,
+    ) -> Result<Response<Bytes>, Call> {
+        let settings = Settings { kept: 0, ..self.shared.settings };
+        Pool::new(settings).call(address, request, time, limit).await
     }
 
     /// Closes the idle connections to all addresses but those that `keep` names.
@@ -186,7 +207,8 @@
             let keepalive = TcpKeepalive::new().with_time(pause).with_interval(pause);
             let socket = SockRef::from(&stream);
             let set = socket.set_tcp_keepalive(&keepalive.with_retries(2));
-            set.and_then(|()| socket.set_tcp_user_timeout(Some(pause * 2))).map_err(Call::Connect)?;
+            set.and_then(|()| socket.set_tcp_user_timeout(Some(pause * 2)))
+                .map_err(Call::Connect)?;
         }
         let (sender, connection) =
             http1::handshake(TokioIo::new(stream)).await.map_err(Call::Broken)?;
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -19,7 +19,7 @@
 use crate::state::Shared;
 
 /// Part of the objective that a request may wait at this entry for a free slot.
-const QUEUE_PART: u32 = 4;
+const QUEUE_PART: u32 = 8;
 
 /// Part of the time left after which a caller is told to come back at the latest. Callers
 /// don't wait for longer than a third of it.
