End connections cleanly at a stop, judge silence with the peers' signs of life, keep staged weights

Weights were loaded over those of instances that came back from a cut seconds later. The configuration was 2 to 4 s old although each empty watch proves its age.

--- a/decision/src/gateway/balance.rs
+++ b/decision/src/gateway/balance.rs
@@ -11,6 +11,7 @@
 use rand::RngExt as _;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::SeedableRng;
+use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
 use crate::gateway::engine::Engine;
@@ -115,12 +116,14 @@
 }
 
 /// The load of one target at one entry, as it is told to peers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Requests in progress.
     pub running: u32,
     /// Prompt tokens of those that have no token yet.
     pub prefill: u32,
+    /// Milliseconds since its last event.
+    pub quiet_ms: u32,
 }
 
 /// All targets of an entry.
@@ -151,6 +154,8 @@
     limiter: Limiter,
     failures: f64,
     heard: Time,
+    /// When a peer heard of it last.
+    peer_heard: Time,
     /// Whether an event has come since it last had nothing to do.
     writing: bool,
     suspect: Option<Suspect>,
@@ -382,10 +387,13 @@
         let Some(pool) = self.pools.get(&track.service) else { return now };
         let load = track.load(now);
         let passes = if track.writing { 1.0 } else { 2.0 };
-        let pass = pool.engine.pass_ms(track.target.pace, load.running) * passes;
+        let excess = f64::from(load.running.saturating_sub(track.target.slots));
+        let turns = excess * MEAN_PASSES / f64::from(track.target.slots.max(1));
+        let pass = pool.engine.pass_ms(track.target.pace, load.running) * (passes + turns);
         let prefill = pool.engine.prefill_ms(track.target.pace, u64::from(load.prefill));
         let slack = if track.writing { self.settings.silence } else { self.settings.first };
-        track.heard + slack + Duration::from_secs_f64((pass + prefill) / 1_000.0)
+        let heard = track.heard.max(track.peer_heard);
+        heard + slack + Duration::from_secs_f64((pass + prefill) / 1_000.0)
     }
 
     /// Makes a target suspect that was silent for too long. Returns whether it is suspect.
@@ -419,16 +427,25 @@
     pub fn hear_peer(&mut self, now: Time, from: u64, loads: &HashMap<u64, Load>) {
         for track in self.tracks.values_mut().filter(|it| it.listed) {
             match loads.get(&track.hash()) {
-                Some(load) => drop(track.peers.insert(from, (now, *load))),
+                Some(load) => {
+                    let quiet = Duration::from_millis(u64::from(load.quiet_ms));
+                    track.peer_heard = track.peer_heard.max(now.back(quiet));
+                    track.peers.insert(from, (now, *load));
+                }
                 None => drop(track.peers.remove(&from)),
             }
         }
     }
 
     /// What this entry has in progress, by the hash of the target.
-    pub fn loads(&self) -> Vec<(u64, Load)> {
+    pub fn loads(&self, now: Time) -> Vec<(u64, Load)> {
         let busy = self.tracks.values().filter(|it| it.own.running > 0);
-        busy.map(|it| (it.hash(), it.own)).collect()
+        let load = |it: &Track| {
+            let silent = if it.writing { now.since(it.heard) } else { Duration::MAX };
+            let quiet_ms = u32::try_from(silent.as_millis()).unwrap_or(u32::MAX);
+            (it.hash(), Load { quiet_ms, ..it.own })
+        };
+        busy.map(load).collect()
     }
 }
 
@@ -458,6 +475,7 @@
             limiter: Limiter::default(),
             failures: 0.0,
             heard: now,
+            peer_heard: Time::ZERO,
             writing: false,
             suspect: None,
         }
--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -189,6 +189,12 @@
         (*presence == Presence::Listed).then_some(*instance)
     }
 
+    /// How many of a fabric domain's entries are gone since a moment ago.
+    fn departed(&self, fabric: &Arc<str>) -> usize {
+        let gone = self.known.values().filter(|(_, it)| *it == Presence::Departed);
+        gone.filter(|(it, _)| it.fabric.as_ref() == Some(fabric)).count()
+    }
+
     /// All that are listed.
     fn listed(&self) -> impl Iterator<Item = &'a Instance> {
         self.known.values().filter(|(_, it)| *it == Presence::Listed).map(|(it, _)| *it)
@@ -426,7 +432,10 @@
         let lost = group.places().any(|(id, born)| {
             let least = if *id == head { Presence::Listed } else { Presence::Departed };
             let sound = self.is_sound(now, all, id, born, least);
-            !sound || matches!(self.state(all, id, key), None | Some(State::Broken))
+            let leaves = all.get(id).is_some_and(|it| it.phase == Phase::Draining);
+            let stays = leaves && *id != head && self.is_present(now, all, id, born);
+            let stays = stays && self.replacements(now, all, group, id) == 0;
+            !(sound || stays) || matches!(self.state(all, id, key), None | Some(State::Broken))
         });
         if lost {
             group.stage = Stage::Ending;
@@ -439,6 +448,19 @@
         true
     }
 
+    /// Free instances that could take the place of `member` at once. A member that leaves stays as
+    /// long as its head has work, so that nothing is won by ending the replica before.
+    fn replacements(&self, now: Time, all: &Instances<'_>, group: &Group, member: &str) -> usize {
+        let Some(leaving) = all.get(member) else { return 0 };
+        let free = all.listed().filter(|it| {
+            let here = it.fabric == leaving.fabric && it.phase == Phase::Ready;
+            here && has(it, &group.model) && !self.is_dead(now, it)
+        });
+        let taken =
+            |it: &Instance| self.groups.values().any(|group| group.members.contains(&it.id));
+        free.filter(|it| !taken(it) && !group.members.contains(&it.id)).count()
+    }
+
     /// Ends a replica. Returns whether it still has to be kept, since its head may serve.
     ///
     /// Its members may only be used elsewhere once the head has left, or, where the head can't be
@@ -529,17 +551,26 @@
         actions: &mut Vec<Action>,
     ) {
         loop {
-            let mut counts: HashMap<Arc<str>, usize> = HashMap::new();
-            for group in self.groups.values().filter(|it| it.stage != Stage::Ending) {
-                *counts.entry(group.model.clone()).or_default() += 1;
-            }
+            let counts = self.counts();
             let mut best: Option<(f64, &Model, Arc<str>)> = None;
             for (fabric, instances) in free.iter() {
-                for model in engine.models.iter().filter(|it| it.size <= instances.len()) {
-                    let Some(cost) = self.cost(model, &counts, instances) else { continue };
+                let fits = engine.models.iter().filter(|it| it.size <= instances.len());
+                let mut fits: Vec<_> = fits.map(|it| (cost(it, &counts), it)).collect();
+                fits.sort_by(|a, b| a.0.total_cmp(&b.0));
+                // What is missed most goes first, also while its weights are being loaded.
+                let mut kept = 0;
+                for (cost, model) in fits {
+                    if model.size + kept > instances.len() {
+                        continue;
+                    }
+                    if !self.is_formable(model, instances) {
+                        kept = kept.max(model.size);
+                        continue;
+                    }
                     if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                         best = Some((cost, model, fabric.clone()));
                     }
+                    break;
                 }
             }
             let Some((_, model, fabric)) = best else { return };
@@ -548,22 +579,20 @@
         }
     }
 
-    /// What speaks against forming `model` of `instances`: replicas that there are already, by
-    /// the model's share. None if weights are missing, unless loads are free: they are staged
-    /// first, so that the instances stay usable meanwhile.
-    fn cost(
-        &self,
-        model: &Model,
-        counts: &HashMap<Arc<str>, usize>,
-        instances: &[&Instance],
-    ) -> Option<f64> {
-        let staged = instances.iter().filter(|it| has(it, &model.name)).count();
-        if staged < model.size && !self.loads_free {
-            return None;
+    /// Replicas by model.
+    fn counts(&self) -> HashMap<Arc<str>, usize> {
+        let mut counts = HashMap::new();
+        for group in self.groups.values().filter(|it| it.stage != Stage::Ending) {
+            *counts.entry(group.model.clone()).or_default() += 1;
         }
-        let count = counts.get(&model.name).copied().unwrap_or_default() as f64;
-        let wanted = model.share / model.size as f64;
-        Some((count + 1.0) / wanted.max(f64::MIN_POSITIVE))
+        counts
+    }
+
+    /// Whether all weights for one replica are there. They are staged first, so that the instances
+    /// stay usable meanwhile, unless loads are free.
+    fn is_formable(&self, model: &Model, instances: &[&Instance]) -> bool {
+        let staged = instances.iter().filter(|it| has(it, &model.name)).count();
+        staged >= model.size || self.loads_free
     }
 
     fn take(
@@ -656,9 +685,15 @@
         spares: &[&Instance],
     ) -> Vec<(Arc<str>, &'a Model)> {
         let staged = |model: &Model| spares.iter().filter(|it| has(it, &model.name)).count();
+        let counts = self.counts();
         let possible = engine.models.iter().filter(|it| it.size <= spares.len());
-        if let Some(model) = possible.min_by_key(|it| it.size.saturating_sub(staged(it))) {
+        let best = possible.min_by(|a, b| cost(a, &counts).total_cmp(&cost(b, &counts)));
+        if let Some(model) = best {
+            // Instances that are cut off come back with their weights as a rule, so that what is
+            // staged is worth more than what would be loaded meanwhile.
+            let hasty = all.departed(fabric) > 0;
             let others = spares.iter().filter(|it| !has(it, &model.name));
+            let others = others.filter(|it| !hasty || it.staged.is_empty());
             let missing = model.size.saturating_sub(staged(model));
             return others.take(missing).map(|it| (it.id.clone(), model)).collect();
         }
@@ -776,6 +811,13 @@
     }
 }
 
+/// What speaks against one more replica of `model`: those that there are, by its share.
+fn cost(model: &Model, counts: &HashMap<Arc<str>, usize>) -> f64 {
+    let count = counts.get(&model.name).copied().unwrap_or_default() as f64;
+    let wanted = model.share / model.size as f64;
+    (count + 1.0) / wanted.max(f64::MIN_POSITIVE)
+}
+
 /// Whether the weights of `model` are on the instance's host.
 fn has(instance: &Instance, model: &str) -> bool {
     instance.staged.iter().any(|it| &**it == model)
--- a/gateway/src/body.rs
+++ b/gateway/src/body.rs
@@ -1,6 +1,7 @@
 //! Bodies of answers to callers.
 
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -10,7 +11,14 @@
 
 /// The body of an answer to a caller.
 #[derive(Debug)]
-pub enum Answer {
+pub struct Answer {
+    content: Content,
+    /// Counts the answer as unfinished at its connection.
+    open: Option<Arc<()>>,
+}
+
+#[derive(Debug)]
+enum Content {
     /// All of it is there.
     Whole(Full<Bytes>),
     /// It comes piece by piece.
@@ -25,7 +33,17 @@
 impl Answer {
     /// A body that is there as a whole.
     pub fn whole(bytes: impl Into<Bytes>) -> Answer {
-        Answer::Whole(Full::new(bytes.into()))
+        Answer { content: Content::Whole(Full::new(bytes.into())), open: None }
+    }
+
+    /// A body that comes piece by piece.
+    pub fn stream(pieces: mpsc::Receiver<Result<Bytes, Broken>>) -> Answer {
+        Answer { content: Content::Stream(pieces), open: None }
+    }
+
+    /// Holds `open` until the body has been sent or dropped.
+    pub fn holding(self, open: Arc<()>) -> Answer {
+        Answer { open: Some(open), ..self }
     }
 }
 
@@ -37,27 +55,27 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        match self.get_mut() {
-            Answer::Whole(body) => {
+        match &mut self.get_mut().content {
+            Content::Whole(body) => {
                 Pin::new(body).poll_frame(context).map_err(|never| match never {})
             }
-            Answer::Stream(pieces) => {
+            Content::Stream(pieces) => {
                 pieces.poll_recv(context).map(|it| it.map(|it| it.map(Frame::data)))
             }
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            Answer::Whole(body) => body.is_end_stream(),
-            Answer::Stream(_) => false,
+        match &self.content {
+            Content::Whole(body) => body.is_end_stream(),
+            Content::Stream(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Answer::Whole(body) => body.size_hint(),
-            Answer::Stream(_) => SizeHint::default(),
+        match &self.content {
+            Content::Whole(body) => body.size_hint(),
+            Content::Stream(_) => SizeHint::default(),
         }
     }
 }
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -17,7 +17,7 @@
 use crate::journal::{Event, Journal};
 use crate::port::{Entry, Kind, Platform, When, Write};
 use crate::settings::Settings;
-use crate::state::Shared;
+use crate::state::{Counts, Shared};
 use crate::{follow, intake, owner, peers, ready};
 
 /// Time for which a stopping entry still takes new connections: the platform asks once a second
@@ -145,7 +145,7 @@
 
 /// Drops what has lapsed.
 async fn upkeep<P: Platform>(shared: Arc<Shared<P>>) {
-    let mut told = std::collections::HashMap::new();
+    let mut told = Counts::new();
     loop {
         sleep(UPKEEP).await;
         let now = shared.now();
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -103,7 +103,10 @@
                     self.succeed(role);
                     revision = changes.revision;
                     let some = !changes.put.is_empty() || !changes.gone.is_empty();
-                    self.apply(asked, changes);
+                    let held = asked + self.wait();
+                    // Without changes, the store answers once its wait is over, and not before.
+                    let known = if some || self.shared.now() < held { asked } else { held };
+                    self.apply(known, changes);
                     if some {
                         sleep(self.pace()).await;
                     }
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -1,7 +1,6 @@
 //! The listener for callers: HTTP/1.1, within the limits of the configuration.
 
 use std::convert::Infallible;
-use std::future::Future;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -31,25 +30,32 @@
 /// Pause after the system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Pause between two looks whether a stopping entry's connection is idle.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// Bytes of a head that are read beyond the limit of the configuration, to answer it.
 const HEAD_MARGIN: usize = 8_192;
 
-/// Accepts callers' connections until the sender of `stop` says that they are to end.
-pub async fn serve<P: Platform>(
+/// Accepts callers' connections until `stop` says that they are to end.
+pub(crate) async fn serve<P: Platform>(
     shared: Arc<Shared<P>>,
     listener: TcpListener,
-    stop: watch::Receiver<bool>,
+    mut stop: watch::Receiver<bool>,
 ) {
+    let connections = stop.clone();
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(_) => {
-                // Too many open files, as a rule; callers wait in the backlog meanwhile.
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
+        let accepted = tokio::select! {
+            biased;
+            _ = stop.wait_for(|it| *it) => return,
+            accepted = listener.accept() => accepted,
         };
-        tokio::spawn(connection(shared.clone(), stream, stop.clone()));
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::spawn(connection(shared.clone(), stream, connections.clone()));
+            }
+            // Too many open files, as a rule; callers wait in the backlog meanwhile.
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
     }
 }
 
@@ -58,12 +64,22 @@
     stream: TcpStream,
     mut stop: watch::Receiver<bool>,
 ) {
+    let _counted = Counted::new(&shared);
     // Only the latency of small answers depends on it.
     let _set = stream.set_nodelay(true);
     let limits = shared.knowledge().table.limits();
+    let open = Arc::new(());
+    let idle = Arc::strong_count(&open) + 1;
     let service = {
         let shared = shared.clone();
-        service_fn(move |request| handle(shared.clone(), request))
+        let open = open.clone();
+        service_fn(move |request| {
+            let (shared, open) = (shared.clone(), open.clone());
+            async move {
+                let answer = answer(&shared, request).await;
+                Ok::<_, Infallible>(answer.map(|it| it.holding(open)))
+            }
+        })
     };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -76,25 +92,25 @@
         _ended = connection.as_mut() => return,
         _ = stop.wait_for(|it| *it) => connection.as_mut().graceful_shutdown(),
     }
-    let _ended = connection.await;
+    // A connection on which nothing was asked yet would stay open until its caller asks.
+    while Arc::strong_count(&open) > idle {
+        if timeout(LOOK, connection.as_mut()).await.is_ok() {
+            return;
+        }
+    }
+    let _ended = timeout(LOOK, connection).await;
 }
 
-fn handle<P: Platform>(
-    shared: Arc<Shared<P>>,
-    request: Request<Incoming>,
-) -> impl Future<Output = Result<Response<Answer>, Infallible>> {
-    async move {
+/// Counts a connection as open until it is dropped.
+struct Counted<P>(Arc<Shared<P>>);
+
+impl<P> Counted<P> {
+    fn new(shared: &Arc<Shared<P>>) -> Counted<P> {
         shared.open.fetch_add(1, Ordering::Relaxed);
-        let counted = Counted(shared.clone());
-        let answer = answer(&shared, request).await;
-        drop(counted);
-        Ok(answer)
+        Counted(shared.clone())
     }
 }
 
-/// Counts a request as open until it is dropped.
-struct Counted<P>(Arc<Shared<P>>);
-
 impl<P> Drop for Counted<P> {
     fn drop(&mut self) {
         self.0.open.fetch_sub(1, Ordering::Relaxed);
--- a/gateway/src/journal.rs
+++ b/gateway/src/journal.rs
@@ -43,7 +43,7 @@
     /// A configuration is in force here.
     Configured { version: u64, routes: usize, workspaces: usize },
     /// The set of replicas that may get work has changed.
-    Replicas { service: &'a str, serving: usize, instances: usize },
+    Replicas { service: &'a str, model: &'a str, serving: usize, instances: usize },
     /// A request was refused and has not run.
     Refused {
         request: &'a str,
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -39,7 +39,7 @@
     store: bool,
     seen: bool,
     leaving: bool,
-    loads: Vec<(u64, u32, u32)>,
+    loads: Vec<(u64, Load)>,
     suspects: Vec<u64>,
 }
 
@@ -145,8 +145,7 @@
 
 fn word<P: Platform>(shared: &Shared<P>, life: u64) -> Word {
     let balance = shared.balance();
-    let loads = balance.loads().into_iter().take(MAX_ITEMS);
-    let loads = loads.map(|(target, load)| (target, load.running, load.prefill)).collect();
+    let loads = balance.loads(shared.now()).into_iter().take(MAX_ITEMS).collect();
     let suspects = balance.suspects().take(MAX_ITEMS).map(|it| hash(&it.id)).collect();
     drop(balance);
     Word {
@@ -179,12 +178,7 @@
     if word.name == shared.settings.instance {
         return;
     }
-    let loads: HashMap<u64, Load> = word
-        .loads
-        .iter()
-        .take(MAX_ITEMS)
-        .map(|(target, running, prefill)| (*target, Load { running: *running, prefill: *prefill }))
-        .collect();
+    let loads: HashMap<u64, Load> = word.loads.iter().take(MAX_ITEMS).copied().collect();
     shared.balance().hear_peer(now, hash(&word.name), &loads);
     if word.seen && !shared.seen.swap(true, Ordering::Relaxed) {
         shared.changed.notify_waiters();
--- a/gateway/src/pool.rs
+++ b/gateway/src/pool.rs
@@ -140,7 +140,7 @@
         let answer = timeout(time, exchange).await;
         if answer.is_err() {
             // The other connections to a silent address may be silent for good.
-            self.shared.idle().remove(&address);
+            self.forget(address);
         }
         answer.unwrap_or(Err(Call::Timeout))
     }
@@ -161,6 +161,11 @@
         Pool::new(settings).call(address, request, time, limit).await
     }
 
+    /// Closes the idle connections to `address`.
+    pub fn forget(&self, address: SocketAddr) {
+        self.shared.idle().remove(&address);
+    }
+
     /// Closes the idle connections to all addresses but those that `keep` names.
     pub fn retain(&self, keep: impl Fn(SocketAddr) -> bool) {
         let now = Instant::now();
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -28,6 +28,9 @@
 /// Shortest time after which a caller is told to come back.
 const RETURN_LEAST: Duration = Duration::from_millis(100);
 
+/// Times that a request may be sent beyond its route's attempts, to targets that did not run it.
+const SENDS_MARGIN: u32 = 4;
+
 /// Headers that concern one connection only.
 const HOP: [HeaderName; 8] = [
     header::CONNECTION,
@@ -189,9 +192,8 @@
 impl<P: Platform> Job<P> {
     /// Whether the request may be sent to one more target.
     pub fn may_repeat(&self) -> bool {
-        let balance = self.shared.balance();
-        let counted = self.tried.iter().filter(|it| balance.is_listed(**it)).count();
-        (counted as u32) < self.route.attempts.max(1)
+        let attempts = self.route.attempts.max(1);
+        (self.tried.len() as u32) < attempts && self.sends < attempts + SENDS_MARGIN
     }
 
     /// Finds a target, waiting a little while all are busy.
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -138,9 +138,14 @@
         Duration::from_millis(self.config_ms.max(self.revoke_ms))
     }
 
-    /// Time for which a watch of the configuration waits: two in a row stay within the bound of
-    /// the keys, with a margin for slow answers.
+    /// Time for which a watch of the configuration waits: a late answer, and one that is asked
+    /// for again, still come within the bound of the keys.
     pub fn config_wait(&self) -> Duration {
-        Duration::from_millis(self.revoke_ms) * 2 / 5
+        Duration::from_millis(self.revoke_ms) / 2
+    }
+
+    /// Age of the configuration up to which an entry is ready.
+    pub fn ready_age(&self) -> Duration {
+        Duration::from_millis(self.revoke_ms) * 7 / 10
     }
 }
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -1,6 +1,6 @@
 //! What the parts of one entry share: what it knows, and what it has in progress.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -42,7 +42,7 @@
     pub freed: Notify,
     /// The list of instances, or what is known of them, has changed.
     pub changed: Notify,
-    /// Requests in progress.
+    /// Callers' connections that are open.
     pub open: AtomicUsize,
     /// Whether a caller's request has been seen, here or at a peer.
     pub seen: AtomicBool,
@@ -158,7 +158,7 @@
         }
         let knowledge = self.knowledge();
         let age = knowledge.config_at.map(|it| self.now().since(it));
-        let fresh = age.is_some_and(|it| it < self.settings.bounds.key_age());
+        let fresh = age.is_some_and(|it| it < self.settings.bounds.ready_age());
         let services: Vec<_> = knowledge.table.services().map(|it| it.name.clone()).collect();
         drop(knowledge);
         let balance = self.balance();
@@ -187,30 +187,46 @@
         self.changed.notify_waiters();
     }
 
-    /// Tells how many targets each service has, if that has changed.
-    pub fn report(&self, told: &mut HashMap<Arc<str>, (usize, usize)>) {
-        let mut counts: HashMap<Arc<str>, (usize, usize)> = HashMap::new();
+    /// Tells how many targets each service and model has, if that has changed.
+    pub fn report(&self, told: &mut Counts) {
+        let counts = self.count();
+        for ((service, model), (serving, instances)) in &counts {
+            if told.get(&(service.clone(), model.clone())) != Some(&(*serving, *instances)) {
+                self.journal.note(&Event::Replicas {
+                    service,
+                    model,
+                    serving: *serving,
+                    instances: *instances,
+                });
+            }
+        }
+        *told = counts;
+    }
+
+    fn count(&self) -> Counts {
+        let mut counts = Counts::new();
         let knowledge = self.knowledge();
         for service in knowledge.table.services() {
-            let of = knowledge.fleet.iter().filter(|it| it.service == service.name);
-            let instances = of.count();
-            let serving = match &service.engine {
-                Some(_) => knowledge.fleet.replicas(service).len(),
-                None => instances,
+            let instances = knowledge.fleet.iter().filter(|it| it.service == service.name).count();
+            let Some(engine) = &service.engine else {
+                counts.insert((service.name.clone(), "".into()), (instances, instances));
+                continue;
             };
-            counts.insert(service.name.clone(), (serving, instances));
-        }
-        drop(knowledge);
-        for (service, (serving, instances)) in &counts {
-            if told.get(service) != Some(&(*serving, *instances)) {
-                let (serving, instances) = (*serving, *instances);
-                self.journal.note(&Event::Replicas { service, serving, instances });
+            for model in &engine.models {
+                counts.insert((service.name.clone(), model.name.clone()), (0, instances));
+            }
+            for replica in knowledge.fleet.replicas(service) {
+                let count = counts.entry((service.name.clone(), replica.model));
+                count.or_insert((0, instances)).0 += 1;
             }
         }
-        *told = counts;
+        counts
     }
 }
 
+/// Targets that serve, and instances, by service and model.
+pub type Counts = BTreeMap<(Arc<str>, Arc<str>), (usize, usize)>;
+
 /// The targets of `service`, each with the time for which it is still cold.
 fn targets(
     now: Time,
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -39,6 +39,8 @@
 enum Failure {
     /// The target did not run it.
     NotRun(&'static str),
+    /// The target showed no sign of having begun.
+    Silent,
     /// The target may have run it.
     Unknown(&'static str),
     /// The target answered with a failure of its own.
@@ -71,7 +73,7 @@
     response.headers_mut().remove(header::CONTENT_LENGTH);
     let (pieces, receiver) = mpsc::channel(PIECES);
     tokio::spawn(pump(job, open, pieces));
-    response.map(|()| Answer::Stream(receiver))
+    response.map(|()| Answer::stream(receiver))
 }
 
 fn broken<P: Platform>(job: &Job<P>, stop: &Stop) -> Response<Answer> {
@@ -248,6 +250,10 @@
         job.shared.journal.note(&Event::Suspect { target: &place.target.id, silent_ms });
         job.shared.changed.notify_waiters();
     }
+    if silent {
+        // Its other connections may be silent for good.
+        job.shared.targets.forget(place.target.address);
+    }
     silent || now.since(heard) >= ALONE
 }
 
@@ -271,6 +277,13 @@
                 }
             }
             Err(Failure::Answered(head, body)) => return Err(Stop::Answered(head, body)),
+            Err(Failure::Silent) => {
+                *ran = true;
+                job.avoid.push(key);
+                if !job.may_repeat() {
+                    return Err(Stop::Broken("silent"));
+                }
+            }
             Err(Failure::Unknown(reason)) => {
                 *ran = true;
                 job.avoid.push(key);
@@ -307,7 +320,7 @@
                     if job.route.is_idempotent() && job.may_repeat()
                         && is_silent_waiting(job, &place)
                     {
-                        break Err((Failure::Unknown("silent"), End::Failed));
+                        break Err((Failure::Silent, End::Failed));
                     }
                 }
             }
@@ -318,6 +331,7 @@
         Err((failure, end)) => {
             match &failure {
                 Failure::NotRun(reason) => job.failed(&place, reason, "no"),
+                Failure::Silent => job.failed(&place, "silent", "unknown"),
                 Failure::Unknown(reason) => job.failed(&place, reason, "unknown"),
                 Failure::Answered(..) => {}
             }
