--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -18,6 +18,9 @@
 /// How far a model may get ahead of the one that is missed most, by cost.
 const MAX_EXCESS: f64 = 1.15;
 
+/// Instances of one fabric domain whose entries go together because of a cut, not one by one.
+const MANY: usize = 3;
+
 /// Loads that may begin in a window however low the rate.
 const MIN_LOADS: usize = 6;
 
@@ -88,6 +91,15 @@
     },
 }
 
+/// How much depends on an instance whose entry is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Doubt {
+    /// A replica that serves.
+    Member,
+    /// Whether it is worth while to wait for it.
+    Spare,
+}
+
 /// What becomes of the requests of a head that stops serving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Close {
@@ -173,7 +185,7 @@
             slack: Duration::from_secs(4),
             load_window: Duration::from_secs(5),
             settle: Duration::from_millis(400),
-            vouched: Duration::from_millis(1_500),
+            vouched: Duration::from_millis(2_000),
             left: Duration::from_millis(1_500),
             dead: Duration::from_secs(4),
         }
@@ -198,10 +210,10 @@
         (*presence == Presence::Listed).then_some(*instance)
     }
 
-    /// How many of a fabric domain's entries are gone since a moment ago.
-    fn departed(&self, fabric: &Arc<str>) -> usize {
+    /// The instances of a fabric domain whose entries are gone since a moment ago.
+    fn departed(&self, fabric: &Arc<str>) -> impl Iterator<Item = &'a Instance> {
         let gone = self.known.values().filter(|(_, it)| *it == Presence::Departed);
-        gone.filter(|(it, _)| it.fabric.as_ref() == Some(fabric)).count()
+        gone.map(|(it, _)| *it).filter(move |it| it.fabric.as_ref() == Some(fabric))
     }
 
     /// All that are listed.
@@ -263,11 +275,16 @@
         }
     }
 
-    /// Members of replicas whose entries are gone, and who must answer now and then.
-    pub fn doubtful(&self) -> Vec<Arc<str>> {
+    /// Instances whose entries are gone, and who are asked whether they live: members of replicas
+    /// often, the others now and then.
+    pub fn doubtful(&self) -> Vec<(Arc<str>, Doubt)> {
         let groups = self.groups.values().filter(|it| it.stage == Stage::Whole);
-        let members = groups.flat_map(|it| it.members.iter());
-        members.filter(|it| self.departed.contains(*it)).cloned().collect()
+        let members: HashSet<&Arc<str>> = groups.flat_map(|it| it.members.iter()).collect();
+        let doubt = |id: &Arc<str>| match members.contains(id) {
+            true => Doubt::Member,
+            false => Doubt::Spare,
+        };
+        self.departed.iter().map(|id| (id.clone(), doubt(id))).collect()
     }
 
     /// Whether the instance is known not to be reachable.
@@ -598,10 +615,7 @@
     /// Instances of a fabric domain that stay free to heal its replicas, once it has one of each
     /// model.
     fn reserve(&self, engine: &Engine, all: &Instances<'_>, fabric: &Arc<str>) -> usize {
-        let here = |model: &Model| {
-            let mut groups = self.groups.values().filter(|it| it.model == model.name);
-            groups.any(|it| it.is_in(all, fabric))
-        };
+        let here = |it: &Model| self.is_served(all, fabric, it);
         if engine.models.iter().all(here) { self.settings.reserve } else { 0 }
     }
 
@@ -617,8 +631,7 @@
     /// Whether all weights for one replica are there. They are staged first, so that the instances
     /// stay usable meanwhile, unless loads are free.
     fn is_formable(&self, model: &Model, instances: &[&Instance]) -> bool {
-        let staged = instances.iter().filter(|it| has(it, &model.name)).count();
-        staged >= model.size || self.loads_free
+        staged(instances, model) >= model.size || self.loads_free
     }
 
     fn take(
@@ -679,7 +692,8 @@
         free: &BTreeMap<Arc<str>, Vec<&Instance>>,
         actions: &mut Vec<Action>,
     ) {
-        if self.groups.values().any(|it| it.stage == Stage::Forming && self.is_loading(now, it)) {
+        let loading = |it: &Group| it.stage == Stage::Forming && self.is_loading(now, it);
+        if self.loads_free && self.groups.values().any(loading) {
             return;
         }
         for (fabric, spares) in free {
@@ -724,39 +738,83 @@
         fabric: &Arc<str>,
         spares: &[&Instance],
     ) -> Vec<(Arc<str>, &'a Model)> {
-        let staged = |model: &Model| spares.iter().filter(|it| has(it, &model.name)).count();
         let counts = self.counts();
         let room = spares.len().saturating_sub(self.reserve(engine, all, fabric));
         let possible = engine.models.iter().filter(|it| it.size <= room);
         let possible = possible.filter(|it| is_due(it, engine, &counts));
-        let best = possible.min_by(|a, b| cost(a, &counts).total_cmp(&cost(b, &counts)));
-        if let Some(model) = best {
-            // Instances that are cut off come back with their weights as a rule, so that what is
-            // staged is worth more than what would be loaded meanwhile.
-            let hasty = all.departed(fabric) > 0;
+        let calm = !self.is_hasty(all, fabric);
+        if let Some(model) = possible.min_by(|a, b| cost(a, &counts).total_cmp(&cost(b, &counts))) {
             let others = spares.iter().filter(|it| !has(it, &model.name));
-            let others = others.filter(|it| !hasty || it.staged.is_empty());
-            let missing = model.size.saturating_sub(staged(model));
-            return others.take(missing).map(|it| (it.id.clone(), model)).collect();
-        }
-        let mut goal: HashMap<&str, usize> = HashMap::new();
-        for _ in spares {
-            let Some(model) = self.needed(engine, all, fabric, &goal) else { break };
+            let mut others: Vec<_> = others.filter(|it| calm || it.staged.is_empty()).collect();
+            others.sort_by_key(|it| !it.staged.is_empty());
+            let missing = model.size.saturating_sub(staged(spares, model));
+            return others.into_iter().take(missing).map(|it| (it.id.clone(), model)).collect();
+        }
+        let bare = spares.iter().filter(|it| it.staged.is_empty());
+        let mut goal: HashMap<&str, usize> =
+            engine.models.iter().map(|it| (&*it.name, staged(spares, it))).collect();
+        let mut loads = Vec::new();
+        for spare in bare {
+            let Some(model) = self.missed(engine, all, fabric, &goal) else { continue };
             *goal.entry(&model.name).or_default() += 1;
+            loads.push((spare.id.clone(), model));
         }
-        let mut idle = Vec::new();
-        for spare in spares {
-            let model = spare.staged.first().and_then(|it| goal.get_mut(&**it));
-            match model {
-                Some(left) if *left > 0 => *left -= 1,
-                _ => idle.push(spare.id.clone()),
-            }
+        if calm {
+            loads.extend(self.exchange(engine, all, fabric, spares, &goal));
         }
-        let short = engine.models.iter().flat_map(|model| {
-            let count = goal.get(&*model.name).copied().unwrap_or_default();
-            std::iter::repeat_n(model, count)
-        });
-        idle.into_iter().zip(short).collect()
+        loads
+    }
+
+    /// Which spare should change its model, since no other one heals the replicas that are most
+    /// exposed.
+    fn exchange<'a>(
+        &self,
+        engine: &'a Engine,
+        all: &Instances<'_>,
+        fabric: &Arc<str>,
+        spares: &[&Instance],
+        goal: &HashMap<&str, usize>,
+    ) -> Option<(Arc<str>, &'a Model)> {
+        let count = |model: &Model| goal.get(&*model.name).copied().unwrap_or_default();
+        let served = engine.models.iter().all(|it| self.is_served(all, fabric, it));
+        let model = self.needed(engine, all, fabric, &HashMap::new())?;
+        if !served || count(model) > 0 {
+            return None;
+        }
+        let spare = spares.iter().find(|it| !it.staged.is_empty())?;
+        Some((spare.id.clone(), model))
+    }
+
+    /// The model that a bare instance of `fabric` should load: one that has no replica there and
+    /// lacks weights for one, else the one whose replicas have the fewest spares.
+    fn missed<'a>(
+        &self,
+        engine: &'a Engine,
+        all: &Instances<'_>,
+        fabric: &Arc<str>,
+        goal: &HashMap<&str, usize>,
+    ) -> Option<&'a Model> {
+        let counts = self.counts();
+        let lacks = |it: &&Model| {
+            let staged = goal.get(&*it.name).copied().unwrap_or_default();
+            staged < it.size && !self.is_served(all, fabric, it)
+        };
+        let absent = engine.models.iter().filter(lacks);
+        let absent = absent.min_by(|a, b| cost(a, &counts).total_cmp(&cost(b, &counts)));
+        absent.or_else(|| self.needed(engine, all, fabric, goal))
+    }
+
+    /// Whether `fabric` has a replica of `model`.
+    fn is_served(&self, all: &Instances<'_>, fabric: &Arc<str>, model: &Model) -> bool {
+        let mut groups = self.groups.values().filter(|it| it.model == model.name);
+        groups.any(|it| it.is_in(all, fabric))
+    }
+
+    /// Whether instances of `fabric` are probably only cut off. They come back with their weights
+    /// as a rule, so that what is staged is worth more than what would be loaded meanwhile.
+    fn is_hasty(&self, all: &Instances<'_>, fabric: &Arc<str>) -> bool {
+        let departed: Vec<&Instance> = all.departed(fabric).collect();
+        departed.len() >= MANY || departed.iter().any(|it| self.is_vouched(it))
     }
 
     /// The model whose replicas in `fabric` have the fewest spares for their instances.
@@ -869,6 +927,11 @@
     cost(model, counts) <= least * MAX_EXCESS
 }
 
+/// How many of `spares` have the weights of `model`.
+fn staged(spares: &[&Instance], model: &Model) -> usize {
+    spares.iter().filter(|it| has(it, &model.name)).count()
+}
+
 /// Whether the weights of `model` are on the instance's host.
 fn has(instance: &Instance, model: &str) -> bool {
     instance.staged.iter().any(|it| &**it == model)
--- a/decision/tests/gateway/formation.rs
+++ b/decision/tests/gateway/formation.rs
@@ -28,6 +28,8 @@
     let mut world = World::new(1, 6, 11);
     world.run(20_000);
     assert_eq!((world.serving("large"), world.serving("small")), (6, 6));
+    let bare = world.hosts.values().filter(|it| it.instance.staged.is_empty());
+    assert_eq!(bare.count(), 0, "spares have weights before the first request");
 }
 
 #[test]
--- a/decision/tests/gateway/world.rs
+++ b/decision/tests/gateway/world.rs
@@ -187,7 +187,7 @@
     }
 
     fn ask_doubtful(&mut self, now: Time) {
-        for id in self.formation.doubtful() {
+        for (id, _) in self.formation.doubtful() {
             let Some(host) = self.hosts.get(&id) else { continue };
             let born = host.instance.born;
             match host.dead {
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -9,7 +9,7 @@
 
 use decision::gateway::balance::hash;
 use decision::gateway::fleet::{Instance, Presence};
-use decision::gateway::formation::{self, Action, Formation, Order};
+use decision::gateway::formation::{self, Action, Doubt, Formation, Order};
 use decision::prelude::*;
 use http::StatusCode;
 use tokio::sync::mpsc;
@@ -47,6 +47,9 @@
 /// Pause between two questions to one instance.
 const PROBE_PAUSE: Duration = Duration::from_millis(400);
 
+/// The same, for an instance that no replica depends on.
+const SPARE_PAUSE: Duration = Duration::from_millis(1_300);
+
 /// Questions without an answer after which an instance counts as lost.
 const MISSES: u32 = 2;
 
@@ -232,13 +235,19 @@
                 self.order(fence, action, born.unwrap_or_default());
             }
         }
-        doubtful.into_iter().for_each(|id| self.ask(now, id));
+        for (id, doubt) in doubtful {
+            let pause = match doubt {
+                Doubt::Member => PROBE_PAUSE,
+                Doubt::Spare => SPARE_PAUSE,
+            };
+            self.ask(now, id, pause);
+        }
     }
 
     /// Asks an instance whether it lives, unless it was asked a moment ago.
-    fn ask(&mut self, now: Time, id: Arc<str>) {
+    fn ask(&mut self, now: Time, id: Arc<str>, pause: Duration) {
         let probe = self.probes.entry(id.clone()).or_default();
-        if now.since(probe.at) >= PROBE_PAUSE || probe.at == Time::ZERO {
+        if now.since(probe.at) >= pause || probe.at == Time::ZERO {
             probe.at = now;
             self.probe(id);
         }
@@ -256,7 +265,7 @@
             .collect();
         drop(balance);
         for id in suspects.into_iter().flatten() {
-            self.ask(now, id);
+            self.ask(now, id, PROBE_PAUSE);
         }
         self.probes.retain(|_, it| now.since(it.at) < PROBE_PAUSE * 5);
     }
@@ -315,7 +324,7 @@
                     }
                 }
                 if taken.is_none() && connected {
-                    self.ask(now, id);
+                    self.ask(now, id, PROBE_PAUSE);
                 }
             }
         }
