--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -35,6 +35,8 @@
     pub slack: Duration,
     /// Window in which loads are counted.
     pub load_window: Duration,
+    /// Longest time that a head which stops has for the requests that it runs.
+    pub closing: Duration,
     /// Time without a new instance after which the first replicas are formed at a first start,
     /// and without a change of the free instances after which weights are staged on them.
     pub settle: Duration,
@@ -152,6 +154,8 @@
     members: Vec<Arc<str>>,
     born: Vec<u64>,
     since: Time,
+    /// When its end began.
+    ended: Time,
     stage: Stage,
 }
 
@@ -184,6 +188,7 @@
             repeat: Duration::from_millis(700),
             slack: Duration::from_secs(4),
             load_window: Duration::from_secs(5),
+            closing: Duration::from_millis(2_500),
             settle: Duration::from_millis(400),
             vouched: Duration::from_millis(2_000),
             left: Duration::from_millis(1_500),
@@ -382,6 +387,7 @@
                 members: members.iter().map(|it| it.id.clone()).collect(),
                 born: members.iter().map(|it| it.born).collect(),
                 since: now,
+                ended: now,
                 stage: if open || !joining { Stage::Whole } else { Stage::Forming },
             };
             self.groups.insert(key, group);
@@ -429,7 +435,7 @@
         let lost =
             group.places().any(|(id, born)| !self.is_sound(now, all, id, born, Presence::Listed));
         if lost || now.since(group.since) > limit {
-            group.stage = Stage::Ending;
+            group.end(now);
             return true;
         }
         let states: Vec<_> = group.members.iter().map(|id| self.state(all, id, key)).collect();
@@ -469,7 +475,7 @@
             !(sound || stays) || matches!(self.state(all, id, key), None | Some(State::Broken))
         });
         if lost {
-            group.stage = Stage::Ending;
+            group.end(now);
             return true;
         }
         if self.state(all, &head, key) == Some(State::Ready) {
@@ -512,8 +518,9 @@
         if self.is_reachable(now, all, head) {
             let state = self.state(all, head, key);
             let whole = group.places().all(|(id, born)| self.is_present(now, all, id, born));
+            let patient = whole && now.since(group.ended) < self.settings.closing;
             let order = match state {
-                Some(State::Open | State::Closing) if whole => {
+                Some(State::Open | State::Closing) if patient => {
                     Order::Close { group: name, epoch, mode: Close::Wait }
                 }
                 Some(_) => Order::Leave { group: name, epoch },
@@ -587,23 +594,11 @@
             for (fabric, instances) in free.iter() {
                 let room = instances.len().saturating_sub(self.reserve(engine, all, fabric));
                 let fits = engine.models.iter().filter(|it| it.size <= room);
-                let fits = fits.filter(|it| is_due(it, engine, &counts));
-                let mut fits: Vec<_> = fits.map(|it| (cost(it, &counts), it)).collect();
-                fits.sort_by(|a, b| a.0.total_cmp(&b.0));
-                // What is missed most goes first, also while its weights are being loaded.
-                let mut kept = 0;
-                for (cost, model) in fits {
-                    if model.size + kept > room {
-                        continue;
-                    }
-                    if !self.is_formable(model, instances) {
-                        kept = kept.max(model.size);
-                        continue;
-                    }
+                for model in fits.filter(|it| self.is_formable(it, instances)) {
+                    let cost = cost(model, &counts);
                     if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                         best = Some((cost, model, fabric.clone()));
                     }
-                    break;
                 }
             }
             let Some((_, model, fabric)) = best else { return };
@@ -677,6 +672,7 @@
             born: chosen.iter().map(|it| it.born).collect(),
             members,
             since: now,
+            ended: now,
             stage: Stage::Forming,
         };
         self.groups.insert((group, epoch), formed);
@@ -903,6 +899,11 @@
 }
 
 impl Group {
+    fn end(&mut self, now: Time) {
+        self.stage = Stage::Ending;
+        self.ended = now;
+    }
+
     fn is_in(&self, all: &Instances<'_>, fabric: &Arc<str>) -> bool {
         let mut members = self.members.iter().filter_map(|it| all.recall(it));
         members.any(|it| it.fabric.as_ref() == Some(fabric))
