Keep spares warm: loaded, as the only member of a replica that never serves

Cause: healing took 1.1 to 1.6 s to bring a spare's staged weights into service, of some 2.2 s in all. A spare now joins a replica of its own that is never opened, so that its next join takes 0.2 s; a mark of a load in progress goes once the weights are there (it kept spares cold for 16 s after the start).

--- a/decision/src/gateway/balance.rs
+++ b/decision/src/gateway/balance.rs
@@ -85,6 +85,8 @@
     pub prompt: u64,
     /// Time until its first token is late.
     pub objective: Duration,
+    /// Longest pause between two events of a stream that is on time, if it has streams.
+    pub pause: Option<Duration>,
     /// Targets that it was sent to already.
     pub avoid: Vec<Key>,
     /// The most urgent of requests are placed also where others have to wait.
@@ -296,7 +298,8 @@
             }
             let estimate = track.estimate(now, &pool.engine, &self.settings, ask);
             let late = estimate.first_ms > ask.objective.as_secs_f64() * 1_000.0;
-            if !ask.urgent && (estimate.excess > self.settings.backlog || late && estimate.full) {
+            let full = estimate.excess > self.settings.backlog || late && estimate.full;
+            if !ask.urgent && (full || estimate.halting) {
                 soonest = soonest.min(estimate.slot_ms);
                 continue;
             }
@@ -461,6 +464,8 @@
     full: bool,
     /// Milliseconds until a slot is free.
     slot_ms: f64,
+    /// Whether reading its prompt would halt the streams of others for too long.
+    halting: bool,
 }
 
 impl Track {
@@ -520,10 +525,16 @@
         };
         let plain = f64::from(load.running) / f64::from(slots) * PLAIN_MS;
         let cost = (first_ms + plain + far) * (1.0 + FAILURE_FACTOR * self.failures.powi(2));
-        Estimate { first_ms, cost, excess, full: excess > 0, slot_ms: slot_ms.max(pass) }
+        let halt = (pass + prefill) / HALT_PART;
+        let pause = ask.pause.map_or(f64::INFINITY, |it| it.as_secs_f64() * 1_000.0);
+        let halting = load.prefill > 0 && halt > pause;
+        Estimate { first_ms, cost, excess, full: excess > 0, slot_ms: slot_ms.max(pass), halting }
     }
 }
 
+/// Part of the prompts that wait at a target that is read between two events of its streams.
+const HALT_PART: f64 = 2.5;
+
 /// Passes that a request of usual length takes.
 const MEAN_PASSES: f64 = 25.0;
 
--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -136,7 +136,8 @@
     /// Members that said they have left, before the list shows it.
     left: HashMap<(Arc<str>, Key), Time>,
     loads: VecDeque<Time>,
-    loading: HashMap<Arc<str>, Time>,
+    /// Which instance loads which model, and until when at most.
+    loading: HashMap<Arc<str>, (Time, Arc<str>)>,
     departed: HashSet<Arc<str>>,
     /// The free instances of each fabric domain, and since when they are the same.
     calm: HashMap<Arc<str>, (Vec<Arc<str>>, Time)>,
@@ -175,6 +176,16 @@
     order: Order,
 }
 
+impl Sent {
+    /// Whether the order makes a spare of `model` of the instance.
+    fn is_warming(&self, model: &Arc<str>) -> bool {
+        match &self.order {
+            Order::Join { model: joined, members, .. } => joined == model && members.len() == 1,
+            _ => false,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Dead {
     until: Time,
@@ -341,7 +352,9 @@
         let left = self.settings.left;
         self.left.retain(|_, at| now.since(*at) < left);
         self.sent.retain(|id, _| all.recall(id).is_some());
-        self.loading.retain(|id, until| *until > now && all.get(id).is_some());
+        self.loading.retain(|id, (until, model)| {
+            *until > now && all.get(id).is_some_and(|it| !has(it, model))
+        });
         let departed = all.known.iter().filter(|(_, (_, it))| *it == Presence::Departed);
         let departed: HashSet<Arc<str>> = departed.map(|(_, (it, _))| it.id.clone()).collect();
         for id in departed.difference(&self.departed) {
@@ -649,12 +662,11 @@
             (preference, it.warmup_left, it.id.clone())
         });
         let chosen: Vec<&Instance> = instances.drain(..model.size).collect();
-        self.counter += 1;
-        let epoch = self.fence * EPOCHS + self.counter;
+        let epoch = self.next_epoch();
         let group: Arc<str> = format!("r{epoch}").into();
         for instance in chosen.iter().filter(|it| !has(it, &model.name)) {
             self.loads.push_back(now);
-            self.loading.insert(instance.id.clone(), now + model.load);
+            self.loading.insert(instance.id.clone(), (now + model.load, model.name.clone()));
         }
         let members: Vec<Arc<str>> = chosen.iter().map(|it| it.id.clone()).collect();
         for id in &members {
@@ -704,13 +716,52 @@
                     return;
                 }
                 self.loads.push_back(now);
-                self.loading.insert(id.clone(), now + model.load);
+                self.loading.insert(id.clone(), (now + model.load, model.name.clone()));
                 let order = Order::Stage { model: model.name.clone() };
                 self.send(now, all, &id, order, actions);
             }
+            self.warm(now, all, spares, actions);
         }
     }
 
+    /// Lets spares take the weights of their host into service, as the only member of a replica
+    /// that never serves. They join another one of that model without delay then.
+    fn warm(
+        &mut self,
+        now: Time,
+        all: &Instances<'_>,
+        spares: &[&Instance],
+        actions: &mut Vec<Action>,
+    ) {
+        for spare in spares {
+            let Some(model) = spare.staged.first() else { continue };
+            if self.loading.contains_key(&spare.id) {
+                continue;
+            }
+            if spare.member.is_some() && spare.model.as_ref() == Some(model) {
+                continue;
+            }
+            let sent = self.sent.get(&spare.id);
+            let warming = |it: &Sent| now.since(it.at) < self.settings.slack;
+            if sent.is_some_and(|it| warming(it) && it.is_warming(model)) {
+                continue;
+            }
+            let epoch = self.next_epoch();
+            let order = Order::Join {
+                group: format!("s{epoch}").into(),
+                epoch,
+                model: model.clone(),
+                members: vec![spare.id.clone()],
+            };
+            self.send(now, all, &spare.id, order, actions);
+        }
+    }
+
+    fn next_epoch(&mut self) -> u64 {
+        self.counter += 1;
+        self.fence * EPOCHS + self.counter
+    }
+
     /// Whether the free instances of a fabric domain have been the same for a while.
     fn is_calm(&mut self, now: Time, fabric: &Arc<str>, spares: &[&Instance]) -> bool {
         let mut ids: Vec<Arc<str>> = spares.iter().map(|it| it.id.clone()).collect();
@@ -723,7 +774,7 @@
     }
 
     fn is_loading(&self, now: Time, group: &Group) -> bool {
-        group.members.iter().any(|it| self.loading.get(it).is_some_and(|until| *until > now))
+        group.members.iter().any(|it| self.loading.get(it).is_some_and(|(until, _)| *until > now))
     }
 
     /// Which of the free instances of a fabric domain should load which model.
--- a/decision/tests/gateway/world.rs
+++ b/decision/tests/gateway/world.rs
@@ -141,6 +141,7 @@
         let mut members: Vec<_> = self
             .hosts
             .values()
+            .filter(|it| it.members.len() > 1)
             .filter_map(|it| Some((it.instance.member.as_ref()?.rank, it.instance.id.clone())))
             .collect();
         members.sort();
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -11,7 +11,7 @@
 use crate::error::Call;
 use crate::pool::Reply;
 use crate::port::{Platform, Run};
-use crate::request::{Denial, Job, Place, Refusal, strip};
+use crate::request::{Denial, Job, Place, Refusal, Times, strip};
 
 /// Largest body of an answer that is gathered, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
@@ -46,8 +46,7 @@
                     unknown = Some(StatusCode::BAD_GATEWAY);
                     continue;
                 }
-                let first = job.shared.now().since(job.arrived);
-                job.ended(&id, head.status, "answered", first);
+                job.ended(&id, head.status, "answered", Times::default());
                 return answer(*head, body);
             }
             Attempt::NotRun(_) if job.shared.now() < job.deadline => {
@@ -96,7 +95,7 @@
 }
 
 fn broken<P: Platform>(job: &Job<P>, target: &str, status: StatusCode) -> Response<Answer> {
-    job.ended(target, status, "unknown", job.shared.now().since(job.arrived));
+    job.ended(target, status, "unknown", Times::default());
     Refusal::new(status, "the attempt failed").answer()
 }
 
--- a/gateway/src/journal.rs
+++ b/gateway/src/journal.rs
@@ -76,6 +76,7 @@
         status: u16,
         outcome: &'a str,
         first_ms: u64,
+        pause_ms: u64,
         total_ms: u64,
     },
     /// A target is suspect: its streams are silent, or it fails.
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -88,6 +88,15 @@
     ended: bool,
 }
 
+/// When the pieces of an answer came.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Times {
+    /// From the request to the first piece. Until now if there was none.
+    pub first: Option<Duration>,
+    /// The longest pause between two pieces.
+    pub pause: Duration,
+}
+
 /// Why a request got no target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Denial {
@@ -231,6 +240,7 @@
             model: self.service.engine.as_ref().and(self.head.model.clone()),
             prompt: if self.service.engine.is_some() { self.head.prompt } else { 0 },
             objective: self.route.objective.saturating_sub(now.since(self.arrived)),
+            pause: self.route.pause,
             avoid: self.avoid.clone(),
             urgent,
         };
@@ -296,7 +306,8 @@
     }
 
     /// Notes the final answer.
-    pub fn ended(&self, target: &str, status: StatusCode, outcome: &str, first: Duration) {
+    pub fn ended(&self, target: &str, status: StatusCode, outcome: &str, times: Times) {
+        let first = times.first.unwrap_or_else(|| self.shared.now().since(self.arrived));
         let labels = format!("route=\"{}\",outcome=\"{outcome}\"", self.route.name);
         self.shared.metrics.count("rhubarblatch_requests_total", &labels);
         let label = format!("route=\"{}\"", self.route.name);
@@ -308,6 +319,7 @@
             status: status.as_u16(),
             outcome,
             first_ms: millis(first),
+            pause_ms: millis(times.pause),
             total_ms: self.waited_ms(),
         });
     }
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -16,7 +16,7 @@
 use crate::journal::Event;
 use crate::pool::Reply;
 use crate::port::{Platform, Run};
-use crate::request::{Denial, Job, Place, Refusal, strip};
+use crate::request::{Denial, Job, Place, Refusal, Times, strip};
 use crate::splitter::Splitter;
 
 /// Pieces of a stream that wait for a slow caller.
@@ -35,6 +35,22 @@
     body: Reply,
 }
 
+/// Notes when the pieces of a stream come.
+#[derive(Default)]
+struct Pace {
+    times: Times,
+    last: Option<Time>,
+}
+
+impl Pace {
+    fn note(&mut self, now: Time, arrived: Time) {
+        let pause = self.last.map(|it| now.since(it)).unwrap_or_default();
+        self.times.first.get_or_insert(now.since(arrived));
+        self.times.pause = self.times.pause.max(pause);
+        self.last = Some(now);
+    }
+}
+
 /// Why a target gave no open answer.
 enum Failure {
     /// The target did not run it.
@@ -60,7 +76,7 @@
     let open = match open(&mut job, None, &mut ran).await {
         Ok(open) => open,
         Err(Stop::Answered(head, body)) => {
-            job.ended("", head.status, "answered", job.shared.now().since(job.arrived));
+            job.ended("", head.status, "answered", Times::default());
             return call::answer(*head, body);
         }
         Err(Stop::Denied(denial)) if !ran => return job.deny(denial),
@@ -81,7 +97,7 @@
         Stop::Denied(Denial::Late) => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
     };
-    job.ended("", status, "unknown", job.shared.now().since(job.arrived));
+    job.ended("", status, "unknown", Times::default());
     Refusal::new(status, "the attempt failed").answer()
 }
 
@@ -92,7 +108,7 @@
     pieces: mpsc::Sender<Result<Bytes, Broken>>,
 ) {
     let mut splitter = Splitter::default();
-    let mut first = None;
+    let mut pace = Pace::default();
     loop {
         let target = open.place.target.id.clone();
         let status = open.head.status;
@@ -100,9 +116,9 @@
         let end = tokio::select! {
             biased;
             () = pieces.closed() => Err("caller left"),
-            end = pass(&mut job, &mut open, &mut splitter, &mut first, &pieces) => end,
+            end = pass(&mut job, &mut open, &mut splitter, &mut pace, &pieces) => end,
         };
-        let begun = first.unwrap_or_default();
+        let begun = pace.times;
         match end {
             Ok(()) => {
                 open.place.end(End::Answered);
@@ -172,7 +188,7 @@
     job: &mut Job<P>,
     open: &mut Open<P>,
     splitter: &mut Splitter,
-    first: &mut Option<Duration>,
+    pace: &mut Pace,
     pieces: &mpsc::Sender<Result<Bytes, Broken>>,
 ) -> Result<(), &'static str> {
     let shared = job.shared.clone();
@@ -203,9 +219,7 @@
         open.place.hear();
         let whole = splitter.push(&data).map_err(|_| "event too long")?;
         if let Some(events) = whole {
-            if first.is_none() {
-                *first = Some(heard.since(job.arrived));
-            }
+            pace.note(heard, job.arrived);
             open.place.first();
             if pieces.send(Ok(events)).await.is_err() {
                 return Err("caller left");
