--- a/decision/src/gateway/fleet.rs
+++ b/decision/src/gateway/fleet.rs
@@ -45,6 +45,19 @@
     Draining,
 }
 
+/// What an instance says of itself when it is asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Identifies this start of it.
+    pub born: u64,
+    /// Models whose weights its host keeps.
+    pub staged: Vec<Arc<str>>,
+    /// The model that it has loaded.
+    pub model: Option<Arc<str>>,
+    /// The replica that it is a member of.
+    pub member: Option<Member>,
+}
+
 /// A place in a replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -168,6 +181,14 @@
         }
     }
 
+    /// Takes what an instance said of itself whose entry is gone, since the list can't say it.
+    pub fn observe(&mut self, id: &str, report: Report) {
+        let Some((_, instance)) = self.departed.get_mut(id) else { return };
+        let Report { born, staged, model, member } = report;
+        *instance = Arc::new(Instance { born, staged, model, member, ..(**instance).clone() });
+        self.changes += 1;
+    }
+
     /// Notes that the list can be read again after an outage. Entries that lapsed meanwhile have
     /// `grace` to come back.
     pub fn regain(&mut self, now: Time, grace: Duration) {
--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -96,6 +96,8 @@
 /// How much depends on an instance whose entry is gone.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Doubt {
+    /// A replica that serves as soon as it is ready.
+    Forming,
     /// A replica that serves.
     Member,
     /// Whether it is worth while to wait for it.
@@ -294,11 +296,15 @@
     /// Instances whose entries are gone, and who are asked whether they live: members of replicas
     /// often, the others now and then.
     pub fn doubtful(&self) -> Vec<(Arc<str>, Doubt)> {
-        let groups = self.groups.values().filter(|it| it.stage == Stage::Whole);
-        let members: HashSet<&Arc<str>> = groups.flat_map(|it| it.members.iter()).collect();
-        let doubt = |id: &Arc<str>| match members.contains(id) {
-            true => Doubt::Member,
-            false => Doubt::Spare,
+        let of = |stage| {
+            let groups = self.groups.values().filter(move |it| it.stage == stage);
+            groups.flat_map(|it| it.members.iter()).collect::<HashSet<_>>()
+        };
+        let (forming, whole) = (of(Stage::Forming), of(Stage::Whole));
+        let doubt = |id: &Arc<str>| match (forming.contains(id), whole.contains(id)) {
+            (true, _) => Doubt::Forming,
+            (_, true) => Doubt::Member,
+            _ => Doubt::Spare,
         };
         self.departed.iter().map(|id| (id.clone(), doubt(id))).collect()
     }
@@ -445,8 +451,11 @@
     ) -> bool {
         let Some(model) = engine.model(&group.model) else { return false };
         let limit = model.load * 3 + self.settings.slack;
-        let lost =
-            group.places().any(|(id, born)| !self.is_sound(now, all, id, born, Presence::Listed));
+        let head = group.members[0].clone();
+        let lost = group.places().any(|(id, born)| {
+            let least = if *id == head { Presence::Listed } else { Presence::Departed };
+            !self.is_sound(now, all, id, born, least)
+        });
         if lost || now.since(group.since) > limit {
             group.end(now);
             return true;
@@ -565,9 +574,11 @@
             self.groups.values().flat_map(|it| it.members.iter().map(|it| &**it)).collect();
         let mut strays = Vec::new();
         let mut free: BTreeMap<Arc<str>, Vec<&Instance>> = BTreeMap::new();
-        for instance in all.listed() {
+        for (instance, presence) in all.known.values() {
             let Some(fabric) = &instance.fabric else { continue };
-            let usable = instance.phase == Phase::Ready && !self.is_dead(now, instance);
+            let answers = *presence == Presence::Listed || self.is_vouched(instance);
+            let alive = answers && !self.is_dead(now, instance);
+            let usable = instance.phase == Phase::Ready && alive;
             if !usable || taken.contains(&*instance.id) {
                 continue;
             }
@@ -607,7 +618,7 @@
             for (fabric, instances) in free.iter() {
                 let room = instances.len().saturating_sub(self.reserve(engine, all, fabric));
                 let fits = engine.models.iter().filter(|it| it.size <= room);
-                for model in fits.filter(|it| self.is_formable(it, instances)) {
+                for model in fits.filter(|it| self.is_formable(all, it, instances)) {
                     let cost = cost(model, &counts);
                     if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                         best = Some((cost, model, fabric.clone()));
@@ -638,7 +649,11 @@
 
     /// Whether all weights for one replica are there. They are staged first, so that the instances
     /// stay usable meanwhile, unless loads are free.
-    fn is_formable(&self, model: &Model, instances: &[&Instance]) -> bool {
+    fn is_formable(&self, all: &Instances<'_>, model: &Model, instances: &[&Instance]) -> bool {
+        let listed = |it: &&Instance| all.get(&it.id).is_some();
+        if !instances.iter().any(|it| listed(it) && (self.loads_free || has(it, &model.name))) {
+            return false;
+        }
         staged(instances, model) >= model.size || self.loads_free
     }
 
@@ -659,9 +674,11 @@
             } else {
                 2
             };
-            (preference, it.warmup_left, it.id.clone())
+            (preference, all.get(&it.id).is_none(), it.warmup_left, it.id.clone())
         });
-        let chosen: Vec<&Instance> = instances.drain(..model.size).collect();
+        let mut chosen: Vec<&Instance> = instances.drain(..model.size).collect();
+        // Requests go to the head, which therefore has to be listed.
+        chosen.sort_by_key(|it| all.get(&it.id).is_none());
         let epoch = self.next_epoch();
         let group: Arc<str> = format!("r{epoch}").into();
         for instance in chosen.iter().filter(|it| !has(it, &model.name)) {
@@ -705,6 +722,8 @@
             return;
         }
         for (fabric, spares) in free {
+            let listed = spares.iter().filter(|it| all.get(&it.id).is_some());
+            let spares: &[&Instance] = &listed.copied().collect::<Vec<_>>();
             if !self.is_calm(now, fabric, spares) {
                 continue;
             }
--- a/decision/tests/gateway/formation.rs
+++ b/decision/tests/gateway/formation.rs
@@ -72,6 +72,16 @@
     assert_eq!(epochs(&world), before);
 }
 
+#[test]
+fn a_head_that_is_cut_off_from_the_list_gives_its_place_to_another_member() {
+    let mut world = formed(8);
+    let cut = head(&world);
+    world.cut(&cut, true);
+    world.run(9_000);
+    assert_eq!((world.serving("large"), world.serving("small")), (2, 2));
+    assert!(!world.is_serving(&cut), "requests still go to the head that isn't listed");
+}
+
 #[test]
 fn a_new_owner_takes_over_what_serves() {
     let mut world = formed(5);
--- a/decision/tests/gateway/world.rs
+++ b/decision/tests/gateway/world.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use decision::gateway::engine::Engine;
-use decision::gateway::fleet::{Fleet, Instance, Member, State};
+use decision::gateway::fleet::{Fleet, Instance, Member, Report, State};
 use decision::gateway::formation::{Close, Formation, Order, Settings};
 use decision::prelude::*;
 use rand::RngExt as _;
@@ -136,6 +136,11 @@
         heads.filter(|it| it.instance.model.as_deref() == Some(model) && self.is_whole(it)).count()
     }
 
+    /// Whether `id` is a head that serves.
+    pub(crate) fn is_serving(&self, id: &str) -> bool {
+        self.hosts.get(id).is_some_and(|it| it.state() == Some(State::Open))
+    }
+
     /// Identifiers of all members of replicas, heads first.
     pub(crate) fn members(&self) -> Vec<Arc<str>> {
         let mut members: Vec<_> = self
@@ -191,10 +196,13 @@
         for (id, _) in self.formation.doubtful() {
             let Some(host) = self.hosts.get(&id) else { continue };
             let born = host.instance.born;
-            match host.dead {
-                true => self.formation.lost(now, &id, born),
-                false => self.formation.found(now, &id, born),
+            if host.dead {
+                self.formation.lost(now, &id, born);
+                continue;
             }
+            self.formation.found(now, &id, born);
+            let Instance { born, staged, model, member, .. } = host.instance.clone();
+            self.fleet.observe(&id, Report { born, staged, model, member });
         }
     }
 
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -47,6 +47,9 @@
 /// Pause between two questions to one instance.
 const PROBE_PAUSE: Duration = Duration::from_millis(400);
 
+/// The same, for an instance whose replica forms.
+const FORMING_PAUSE: Duration = Duration::from_millis(100);
+
 /// The same, for an instance that no replica depends on.
 const SPARE_PAUSE: Duration = Duration::from_millis(1_300);
 
@@ -237,6 +240,7 @@
         }
         for (id, doubt) in doubtful {
             let pause = match doubt {
+                Doubt::Forming => FORMING_PAUSE,
                 Doubt::Member => PROBE_PAUSE,
                 Doubt::Spare => SPARE_PAUSE,
             };
@@ -277,6 +281,11 @@
             let request = shared.platform.probe(instance.address);
             let call = shared.targets.ask(instance.address, request, PROBE, MAX_ANSWER).await;
             let alive = call.is_ok();
+            let report = call.ok().and_then(|it| shared.platform.report(it.body()).ok());
+            if let Some(report) = report {
+                shared.knowledge().fleet.observe(&id, report);
+                shared.changed.notify_waiters();
+            }
             // Without a receiver the process ends.
             let _sent = results.send(Result::Probe { id, born: instance.born, alive }).await;
         });
--- a/gateway/src/port.rs
+++ b/gateway/src/port.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use decision::gateway::config::Config;
-use decision::gateway::fleet::Instance;
+use decision::gateway::fleet::{Instance, Report};
 use decision::gateway::formation::Order;
 use decision::prelude::*;
 use http::{HeaderMap, Request, StatusCode, request, response};
@@ -36,6 +36,13 @@
     /// Asks an instance whether it is alive.
     fn probe(&self, address: SocketAddr) -> Outgoing;
 
+    /// Reads what an instance says of itself.
+    ///
+    /// # Errors
+    ///
+    /// If it is no report.
+    fn report(&self, body: &[u8]) -> Result<Report, Malformed>;
+
     /// Gives an order to an instance, under a fencing token.
     fn order(&self, address: SocketAddr, order: &Order, fence: u64) -> Outgoing;
 
