--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -280,8 +280,10 @@
         tokio::spawn(async move {
             let request = shared.platform.probe(instance.address);
             let call = shared.targets.ask(instance.address, request, PROBE, MAX_ANSWER).await;
-            let alive = call.is_ok();
             let report = call.ok().and_then(|it| shared.platform.report(it.body()).ok());
+            // Another instance may have its address by now.
+            let report = report.filter(|it| it.born == instance.born);
+            let alive = report.is_some();
             if let Some(report) = report {
                 shared.knowledge().fleet.observe(&id, report);
                 shared.changed.notify_waiters();
@@ -295,7 +297,7 @@
         let (shared, results) = (self.shared.clone(), self.results.clone());
         tokio::spawn(async move {
             let Action { id, address, order } = action;
-            let request = shared.platform.order(address, &order, fence);
+            let request = shared.platform.order(address, &id, &order, fence);
             let call = shared.targets.call(address, request, ORDER, MAX_ANSWER).await;
             let connected = !matches!(call, Err(Call::Connect(_)));
             let taken = call.as_ref().ok().map(|it| shared.platform.taken(it.status()));
--- a/gateway/src/port.rs
+++ b/gateway/src/port.rs
@@ -43,8 +43,8 @@
     /// If it is no report.
     fn report(&self, body: &[u8]) -> Result<Report, Malformed>;
 
-    /// Gives an order to an instance, under a fencing token.
-    fn order(&self, address: SocketAddr, order: &Order, fence: u64) -> Outgoing;
+    /// Gives an order to the instance `id`, and no other one at its address, under a fencing token.
+    fn order(&self, address: SocketAddr, id: &str, order: &Order, fence: u64) -> Outgoing;
 
     /// What the status of an order's answer says.
     fn taken(&self, status: StatusCode) -> Taken;
