Let one entry of a failure domain read the store for the others; share cold limits over many entries

The first entry of each failure domain that reaches the store reads it, the others ask it, and ask the store where what it knows is too old. With 79 entries each was allowed one request a second to a cold target: FAILBACK, 33 requests where 30.5 were allowed. Rendezvous hashing now picks the entries that may send.

--- a/decision/src/gateway/balance.rs
+++ b/decision/src/gateway/balance.rs
@@ -15,7 +15,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::gateway::engine::Engine;
-use crate::gateway::warmup::Limiter;
+use crate::gateway::warmup::{self, Limiter};
 use crate::prelude::*;
 
 new_key_type! {
@@ -37,6 +37,8 @@
 pub struct Settings {
     /// The failure domain that this entry runs in.
     pub failure_domain: Arc<str>,
+    /// The hash of this entry's name.
+    pub own: u64,
     /// What a target in another failure domain costs more, in milliseconds.
     pub far_ms: f64,
     /// Targets that are compared for one request.
@@ -135,7 +137,7 @@
     pools: HashMap<Arc<str>, Pool>,
     tracks: SlotMap<Key, Track>,
     random: Pcg64Mcg,
-    entries: usize,
+    entries: Vec<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -173,6 +175,7 @@
     fn default() -> Settings {
         Settings {
             failure_domain: "".into(),
+            own: 0,
             far_ms: 8.0,
             compared: 4,
             trial: Duration::from_millis(500),
@@ -192,14 +195,14 @@
             random: Pcg64Mcg::seed_from_u64(settings.seed),
             pools: HashMap::new(),
             tracks: SlotMap::with_key(),
-            entries: 1,
+            entries: Vec::new(),
             settings,
         }
     }
 
-    /// Takes the number of entries that share the limits of cold targets.
-    pub fn entries(&mut self, count: usize) {
-        self.entries = count.max(1);
+    /// Takes the names of all entries, which share the limits of cold targets.
+    pub fn entries<'a>(&mut self, names: impl IntoIterator<Item = &'a str>) {
+        self.entries = names.into_iter().map(hash).collect();
     }
 
     /// Replaces the targets of `service`; each comes with the time for which it is still cold.
@@ -288,9 +291,13 @@
             }
             some = true;
             let cold = track.cold_until > now;
-            if cold && !track.limiter.has_room(now, pool.warmup_rate, self.entries) {
-                soonest = soonest.min(100.0);
-                continue;
+            if cold {
+                let own = self.settings.own;
+                let share = warmup::share(pool.warmup_rate, track.hash(), own, &self.entries);
+                if !track.limiter.has_room(now, share) {
+                    soonest = soonest.min(100.0);
+                    continue;
+                }
             }
             if !track.may_try(now) {
                 soonest = soonest.min(200.0);
--- a/decision/src/gateway/config.rs
+++ b/decision/src/gateway/config.rs
@@ -2,11 +2,13 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::gateway::engine::Engine;
 use crate::prelude::*;
 
 /// A whole configuration.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Config {
     /// Grows with each change, in uneven steps.
     pub version: u64,
@@ -21,7 +23,7 @@
 }
 
 /// Where requests of one host and path prefix go.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Route {
     /// Name of the route.
     pub name: Arc<str>,
@@ -50,7 +52,7 @@
 }
 
 /// What may be repeated of a route's requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
     /// May run more than once.
     Safe,
@@ -61,7 +63,7 @@
 }
 
 /// A service: targets that answer alike.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Service {
     /// Name of the service.
     pub name: Arc<str>,
@@ -74,7 +76,7 @@
 }
 
 /// What a caller may send.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Limits {
     /// Largest head of a request, in bytes.
     pub head_bytes: usize,
@@ -87,7 +89,7 @@
 }
 
 /// A workspace and its keys.
-#[derive(Clone)]
+#[derive(Clone, Serialize, Deserialize)]
 pub struct Workspace {
     /// Name that targets are told.
     pub name: Arc<str>,
--- a/decision/src/gateway/engine.rs
+++ b/decision/src/gateway/engine.rs
@@ -2,10 +2,12 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::prelude::*;
 
 /// What a service's engine can do. Times are those of a replica whose pace is 1.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Engine {
     /// Requests that one replica runs at once.
     pub slots: u32,
@@ -30,7 +32,7 @@
 }
 
 /// A model that instances can form replicas of.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Model {
     /// Name of the model.
     pub name: Arc<str>,
--- a/decision/src/gateway/fleet.rs
+++ b/decision/src/gateway/fleet.rs
@@ -4,11 +4,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::gateway::config::Service;
 use crate::prelude::*;
 
 /// An instance as the platform lists it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Instance {
     /// Its identifier, kept over a restart at times.
     pub id: Arc<str>,
@@ -37,7 +39,7 @@
 }
 
 /// Whether an instance takes work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
     /// It does.
     Ready,
@@ -59,7 +61,7 @@
 }
 
 /// A place in a replica.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
     /// Name of the replica.
     pub group: Arc<str>,
@@ -72,7 +74,7 @@
 }
 
 /// How far a member of a replica is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
     /// Its weights are being loaded.
     Joining,
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -18,7 +18,7 @@
 use crate::port::{Entry, Kind, Platform, When, Write};
 use crate::settings::Settings;
 use crate::state::{Counts, Shared};
-use crate::{follow, intake, owner, peers, ready};
+use crate::{follow, intake, owner, peers, ready, relay};
 
 /// Time for which a stopping entry still takes new connections: the platform asks once a second
 /// whether it is ready, and sends none after two misses.
@@ -55,6 +55,7 @@
     let mut hangup = signal(SignalKind::hangup()).map_err(Error::Signal)?;
     let callers = bind(listen.callers).await?;
     let questions = bind(listen.ready).await?;
+    let relay = bind(listen.peers).await?;
     let socket = UdpSocket::bind(listen.peers).await;
     let address = listen.peers;
     let socket = socket.map_err(|error| Error::Listen { address, error })?;
@@ -72,6 +73,7 @@
     tasks.spawn(intake::serve(shared.clone(), callers, stopped));
     tasks.spawn(ready::serve(shared.clone(), questions));
     tasks.spawn(peers::run(shared.clone(), socket, life));
+    tasks.spawn(relay::serve(shared.clone(), relay));
     tasks.spawn(owner::run(shared.clone(), life));
     tasks.spawn(register(shared.clone()));
     tasks.spawn(upkeep(shared.clone()));
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the platform's store: lists each kind once, then watches what changes.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -15,7 +16,9 @@
 
 use crate::error::Call;
 use crate::journal::Event;
+use crate::mirror::Question;
 use crate::port::{Changes, Item, Kind, Malformed, Object, Platform};
+use crate::relay;
 use crate::state::Shared;
 
 /// Longest answer of the store, in bytes.
@@ -39,6 +42,9 @@
 /// Outage after which entries may have lapsed.
 const LAPSE_AFTER: Duration = Duration::from_millis(1_000);
 
+/// Time for which the store is asked after a peer could not tell.
+const DIRECT: Duration = Duration::from_secs(3);
+
 /// Pauses between calls to a store that does not answer.
 const BACKOFF: Backoff =
     Backoff { first: Duration::from_millis(150), limit: Duration::from_millis(600) };
@@ -57,7 +63,13 @@
 /// Follows all kinds of objects.
 pub async fn run<P: Platform>(shared: Arc<Shared<P>>) {
     let (up, reachable) = watch::channel(false);
-    let follow = |kind| Follower { shared: shared.clone(), kind, lost: None, failures: 0 };
+    let follow = |kind| Follower {
+        shared: shared.clone(),
+        kind,
+        lost: None,
+        failures: 0,
+        direct_until: Time::ZERO,
+    };
     tokio::join!(
         follow(Kind::Config).run(Role::Scout(up)),
         follow(Kind::Instances).run(Role::Rest(reachable.clone())),
@@ -77,6 +89,8 @@
     kind: Kind,
     lost: Option<Time>,
     failures: u32,
+    /// Until when the store is asked, since a peer could not tell.
+    direct_until: Time,
 }
 
 impl<P: Platform> Follower<P> {
@@ -97,12 +111,19 @@
     /// Watches from `revision` on until the history is gone.
     async fn watch(&mut self, mut revision: u64, role: &mut Role) {
         loop {
+            if let Some(reader) = self.reader() {
+                match self.relayed(reader, revision).await {
+                    Ok(next) => revision = next,
+                    Err(_) => self.direct_until = self.shared.now() + DIRECT,
+                }
+                continue;
+            }
             let asked = self.shared.now();
             match self.changes(revision).await {
                 Ok(changes) => {
                     self.succeed(role);
                     revision = changes.revision;
-                    let some = !changes.put.is_empty() || !changes.gone.is_empty();
+                    let some = !changes.is_empty();
                     let held = asked + self.wait();
                     // Without changes, the store answers once its wait is over, and not before.
                     let known = if some || self.shared.now() < held { asked } else { held };
@@ -117,6 +138,46 @@
         }
     }
 
+    /// The peer that reads the store for this failure domain, if it isn't this entry.
+    fn reader(&self) -> Option<SocketAddr> {
+        let now = self.shared.now();
+        if now < self.direct_until || self.lost.is_some() {
+            return None;
+        }
+        let settings = &self.shared.settings;
+        let reader = self.shared.peers.reader(now, &settings.failure_domain)?;
+        if reader >= settings.instance {
+            return None;
+        }
+        self.shared.knowledge().entries.get(&*reader).map(|it| it.address)
+    }
+
+    /// Reads changes at a peer. Returns the revision to go on from.
+    async fn relayed(&self, reader: SocketAddr, since: u64) -> Result<u64, relay::Error> {
+        let asked = self.shared.now();
+        let wait = match self.kind {
+            Kind::Config => self.shared.settings.bounds.relay_wait(),
+            _ => LONG_WAIT,
+        };
+        let wait_ms = u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+        let question = Question { kind: self.kind, since: Some(since), wait_ms };
+        let answer = relay::ask(&self.shared, reader, question).await?;
+        let age = Duration::from_millis(u64::from(answer.age_ms));
+        let held = Duration::from_millis(u64::from(answer.held_ms));
+        // It was told after the question had been held, of a time that lay `age` before.
+        let known = (asked + held).back(age);
+        let limit = self.shared.settings.bounds.relay_age();
+        if self.kind == Kind::Config && age > limit {
+            return Err(relay::Error::Old(age));
+        }
+        let revision = answer.changes.revision;
+        match answer.list {
+            Some(items) => self.replace(known, revision, items),
+            None => self.apply(known, answer.changes),
+        }
+        Ok(revision)
+    }
+
     async fn list(&mut self) -> Result<u64, Error> {
         let asked = self.shared.now();
         let mut items = Vec::new();
@@ -134,8 +195,9 @@
                 break;
             }
         }
-        self.replace(asked, items);
-        Ok(first.unwrap_or_default())
+        let revision = first.unwrap_or_default();
+        self.replace(asked, revision, items);
+        Ok(revision)
     }
 
     async fn changes(&self, revision: u64) -> Result<Changes, Error> {
@@ -222,14 +284,16 @@
     }
 
     /// Takes a whole list.
-    fn replace(&self, asked: Time, items: Vec<Item>) {
+    fn replace(&self, asked: Time, revision: u64, items: Vec<Item>) {
         self.tell_unreadable(&items);
+        self.shared.mirror().list(self.kind, revision, asked, &items);
+        self.shared.mirrored.notify_waiters();
         let now = self.shared.now();
         let mut knowledge = self.shared.knowledge();
         match self.kind {
-            Kind::Config => knowledge.config_at = Some(asked),
+            Kind::Config => knowledge.config_at = knowledge.config_at.max(Some(asked)),
             Kind::Instances => {
-                knowledge.fleet_at = Some(asked);
+                knowledge.fleet_at = knowledge.fleet_at.max(Some(asked));
                 let instances = items.into_iter().filter_map(instance);
                 knowledge.fleet.list(now, instances);
                 drop(knowledge);
@@ -253,18 +317,22 @@
     /// Takes changes.
     fn apply(&self, asked: Time, changes: Changes) {
         self.tell_unreadable(&changes.put);
+        self.shared.mirror().change(self.kind, asked, &changes);
+        if !changes.is_empty() {
+            self.shared.mirrored.notify_waiters();
+        }
         let now = self.shared.now();
         let mut knowledge = self.shared.knowledge();
         let Changes { put, gone, .. } = changes;
         match self.kind {
             Kind::Config => {
-                knowledge.config_at = Some(asked);
+                knowledge.config_at = knowledge.config_at.max(Some(asked));
                 drop(knowledge);
                 put.into_iter().for_each(|it| self.configure(it));
                 return;
             }
             Kind::Instances => {
-                knowledge.fleet_at = Some(asked);
+                knowledge.fleet_at = knowledge.fleet_at.max(Some(asked));
                 if put.is_empty() && gone.is_empty() {
                     return;
                 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -34,6 +34,7 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Word {
     name: String,
+    failure_domain: String,
     life: u64,
     owner: Option<u64>,
     store: bool,
@@ -58,6 +59,7 @@
 #[derive(Clone, Debug)]
 struct Peer {
     heard: Time,
+    failure_domain: String,
     life: u64,
     owner: Option<u64>,
     store: bool,
@@ -91,6 +93,15 @@
         state.peers.values().any(|it| it.is_alive(now) && it.store && !it.leaving)
     }
 
+    /// The first living peer of a failure domain by name that reaches the store.
+    pub fn reader(&self, now: Time, failure_domain: &str) -> Option<String> {
+        let state = self.state();
+        let readers = state.peers.iter().filter(|(_, it)| {
+            it.is_alive(now) && it.store && !it.leaving && it.failure_domain == failure_domain
+        });
+        readers.map(|(name, _)| name.clone()).min()
+    }
+
     /// How many living peers suspect each target, by its hash.
     pub fn suspects(&self, now: Time) -> HashMap<u64, usize> {
         let mut counts = HashMap::new();
@@ -150,6 +161,7 @@
     drop(balance);
     Word {
         name: shared.settings.instance.clone(),
+        failure_domain: shared.settings.failure_domain.clone(),
         life,
         owner: shared.peers.state().own,
         store: shared.is_store_up(),
@@ -188,6 +200,7 @@
     let news = known.is_none_or(|it| it.suspects != word.suspects || it.life != word.life);
     let peer = Peer {
         heard: now,
+        failure_domain: word.failure_domain,
         life: word.life,
         owner: word.owner,
         store: word.store,
--- a/gateway/src/port.rs
+++ b/gateway/src/port.rs
@@ -158,7 +158,7 @@
 }
 
 /// The kinds of objects in the platform's store that the gateway reads.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
     /// The operator's configuration.
@@ -174,7 +174,7 @@
 }
 
 /// An object of the store.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Object {
     /// The configuration.
     Config(Box<Config>),
@@ -209,7 +209,7 @@
 }
 
 /// An object with its name and revision.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Item {
     /// Its name.
     pub name: Arc<str>,
@@ -231,7 +231,7 @@
 }
 
 /// What has changed.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Changes {
     /// Objects that were put.
     pub put: Vec<Item>,
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -138,9 +138,19 @@
         Duration::from_millis(self.config_ms.max(self.revoke_ms))
     }
 
-    /// Time for which a watch of the configuration waits: a late answer, and one that is asked
-    /// for again, still come within the bound of the keys.
+    /// Time for which a watch of the configuration waits. A peer that reads it here a moment
+    /// before the next answer still has it within the age up to which it is ready.
     pub fn config_wait(&self) -> Duration {
+        Duration::from_millis(self.revoke_ms) * 3 / 10
+    }
+
+    /// Time for which a question to a peer about the configuration waits.
+    pub fn relay_wait(&self) -> Duration {
+        Duration::from_millis(self.revoke_ms) / 5
+    }
+
+    /// Age of a peer's knowledge from which on the store is asked instead.
+    pub fn relay_age(&self) -> Duration {
         Duration::from_millis(self.revoke_ms) / 2
     }
 
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use crate::clock::Clock;
 use crate::journal::{Event, Journal};
 use crate::metrics::Metrics;
+use crate::mirror::Mirror;
 use crate::peers::Peers;
 use crate::pool::{self, Pool};
 use crate::port::Entry;
@@ -52,6 +53,9 @@
     pub peers: Peers,
     /// Whether the process is stopping.
     pub stopping: AtomicBool,
+    /// What peers can read here has changed.
+    pub mirrored: Notify,
+    mirror: Mutex<Mirror>,
     knowledge: Mutex<Knowledge>,
     balance: Mutex<Balance>,
     budgets: Mutex<HashMap<Arc<str>, Budget>>,
@@ -77,6 +81,7 @@
     pub fn new(platform: P, settings: Settings, clock: Clock, journal: Journal) -> Shared<P> {
         let balance = balance::Settings {
             failure_domain: settings.failure_domain.as_str().into(),
+            own: balance::hash(&settings.instance),
             seed: balance::hash(&settings.instance),
             ..balance::Settings::default()
         };
@@ -101,6 +106,8 @@
             store_up: AtomicBool::new(false),
             peers: Peers::default(),
             stopping: AtomicBool::new(false),
+            mirrored: Notify::new(),
+            mirror: Mutex::default(),
             knowledge: Mutex::default(),
             balance: Mutex::new(Balance::new(balance)),
             budgets: Mutex::default(),
@@ -117,6 +124,11 @@
         self.knowledge.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What peers can read here. Not held across a wait.
+    pub fn mirror(&self) -> MutexGuard<'_, Mirror> {
+        self.mirror.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The targets and their load. Not held across a wait.
     pub fn balance(&self) -> MutexGuard<'_, Balance> {
         self.balance.lock().unwrap_or_else(PoisonError::into_inner)
@@ -171,7 +183,7 @@
         let mut knowledge = self.knowledge();
         knowledge.fleet.expire(now);
         let mut balance = self.balance();
-        balance.entries(knowledge.entries.len());
+        balance.entries(knowledge.entries.keys().map(|it| &**it));
         let bounds = &self.settings.bounds;
         let mut names = Vec::new();
         for service in knowledge.table.services() {
