--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -126,7 +126,9 @@
 async fn register<P: Platform>(shared: Arc<Shared<P>>) {
     let store = shared.settings.store;
     let name = shared.settings.instance.as_str();
-    let entry = Entry { address: shared.settings.listen.peers };
+    let settings = &shared.settings;
+    let failure_domain = settings.failure_domain.clone();
+    let entry = Entry { address: settings.listen.peers, failure_domain };
     let Ok(value) = serde_json::to_value(&entry) else { return };
     let mut when = When::Absent;
     loop {
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -1,5 +1,8 @@
 //! What entries tell each other, by datagrams: what they have in progress, which targets they
 //! suspect, and who gives orders to the instances.
+//!
+//! A few entries all tell each other everything. With many, an entry tells those of its own
+//! failure domain, and the one that reads the store tells the others the sum of all of them.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -18,18 +21,30 @@
 /// Pause between two rounds.
 const ROUND: Duration = Duration::from_millis(100);
 
-/// Peers that are told in one round. With more, each is told every few rounds.
-const FANOUT: usize = 10;
+/// Peers up to which all are told everything in each round.
+const FEW: usize = 12;
 
-/// Time after which a peer that is silent counts as gone.
+/// Peers in other failure domains that an entry of many tells in one round that it lives.
+const ROTATION: usize = 2;
+
+/// Time after which a peer counts as gone that tells something in each round.
 const ALIVE: Duration = Duration::from_millis(900);
 
+/// Time after which a peer counts as gone that is heard now and then.
+const ALIVE_RARE: Duration = Duration::from_secs(8);
+
 /// Largest datagram, in bytes.
-const MAX_BYTES: usize = 1_400;
+const MAX_BYTES: usize = 2_048;
 
-/// Loads and suspects that fit into a datagram with room to spare.
+/// Loads that fit into a datagram.
 const MAX_ITEMS: usize = 64;
 
+/// Suspects that fit into a datagram beside them.
+const MAX_SUSPECTS: usize = 16;
+
+/// Time after which a peer that is gone is forgotten.
+const FORGET: Duration = Duration::from_secs(60);
+
 /// What an entry tells.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Word {
@@ -40,6 +55,10 @@
     store: bool,
     seen: bool,
     leaving: bool,
+    /// Whether the peer that hears this hears such a word in each round.
+    often: bool,
+    /// Whether the loads are the sum of the sender's failure domain.
+    sum: bool,
     loads: Vec<(u64, Load)>,
     suspects: Vec<u64>,
 }
@@ -64,6 +83,8 @@
     owner: Option<u64>,
     store: bool,
     leaving: bool,
+    often: bool,
+    loads: Vec<(u64, Load)>,
     suspects: Vec<u64>,
 }
 
@@ -121,7 +142,7 @@
 
 impl Peer {
     fn is_alive(&self, now: Time) -> bool {
-        now.since(self.heard) < ALIVE
+        now.since(self.heard) < if self.often { ALIVE } else { ALIVE_RARE }
     }
 }
 
@@ -132,32 +153,85 @@
 }
 
 async fn tell<P: Platform>(shared: Arc<Shared<P>>, socket: Arc<UdpSocket>, life: u64) {
-    let mut next = 0;
+    let mut round = 0;
     loop {
         sleep(ROUND).await;
-        let peers: Vec<SocketAddr> = {
-            let knowledge = shared.knowledge();
-            let own = shared.settings.instance.as_str();
-            let others = knowledge.entries.iter().filter(|(name, _)| &***name != own);
-            others.map(|(_, it)| it.address).collect()
-        };
-        if peers.is_empty() {
-            continue;
+        for (word, peers) in words(&shared, life, round) {
+            let Ok(bytes) = rmp_serde::to_vec(&word) else { continue };
+            for peer in peers {
+                // A datagram that can't be sent is like one that is lost: the next round
+                // repeats it.
+                let _sent = socket.try_send_to(&bytes, peer);
+            }
         }
-        let Ok(bytes) = rmp_serde::to_vec(&word(&shared, life)) else { continue };
-        for place in 0..peers.len().min(FANOUT) {
-            let peer = peers[(next + place) % peers.len()];
-            // A datagram that can't be sent is like one that is lost: the next round repeats it.
-            let _sent = socket.try_send_to(&bytes, peer);
+        round += 1;
+    }
+}
+
+/// What to tell whom in a round.
+fn words<P: Platform>(shared: &Shared<P>, life: u64, round: usize) -> Vec<(Word, Vec<SocketAddr>)> {
+    let (near, far) = addresses(shared);
+    let own = word(shared, life);
+    if near.len() + far.len() <= FEW {
+        return vec![(own, [near, far].concat())];
+    }
+    let now = shared.now();
+    let settings = &shared.settings;
+    let reader = shared.peers.reader(now, &settings.failure_domain);
+    let reads = own.store && reader.is_none_or(|it| settings.instance < it);
+    let far_word = if reads {
+        (sum(shared, &own, now), far)
+    } else if own.owner.is_some() {
+        (Word { loads: Vec::new(), ..own.clone() }, far)
+    } else {
+        let count = far.len().max(1);
+        let some = (0..ROTATION.min(far.len())).map(|it| far[(round * ROTATION + it) % count]);
+        (Word { often: false, loads: Vec::new(), ..own.clone() }, some.collect())
+    };
+    vec![(own, near), far_word]
+}
+
+/// Addresses of the peers in this failure domain, and of the others.
+fn addresses<P: Platform>(shared: &Shared<P>) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    let own = shared.settings.instance.as_str();
+    let knowledge = shared.knowledge();
+    let others = knowledge.entries.iter().filter(|(name, _)| &***name != own);
+    let near = |it: &crate::port::Entry| it.failure_domain == shared.settings.failure_domain;
+    let (near, far): (Vec<_>, Vec<_>) = others.map(|(_, it)| it).partition(|it| near(it));
+    let address = |it: Vec<&crate::port::Entry>| it.into_iter().map(|it| it.address).collect();
+    (address(near), address(far))
+}
+
+/// The sum of what the entries of this failure domain have in progress, and all their suspects.
+fn sum<P: Platform>(shared: &Shared<P>, own: &Word, now: Time) -> Word {
+    let mut loads: HashMap<u64, Load> = own.loads.iter().copied().collect();
+    let mut suspects = own.suspects.clone();
+    let state = shared.peers.state();
+    let near = state
+        .peers
+        .values()
+        .filter(|it| it.is_alive(now) && it.failure_domain == shared.settings.failure_domain);
+    for peer in near {
+        for (target, load) in &peer.loads {
+            let sum =
+                loads.entry(*target).or_insert(Load { quiet_ms: u32::MAX, ..Load::default() });
+            sum.running += load.running;
+            sum.prefill = sum.prefill.saturating_add(load.prefill);
+            sum.quiet_ms = sum.quiet_ms.min(load.quiet_ms);
         }
-        next = (next + FANOUT) % peers.len();
+        suspects.extend(&peer.suspects);
     }
+    suspects.sort_unstable();
+    suspects.dedup();
+    suspects.truncate(MAX_SUSPECTS);
+    let loads = loads.into_iter().take(MAX_ITEMS).collect();
+    Word { sum: true, loads, suspects, ..own.clone() }
 }
 
 fn word<P: Platform>(shared: &Shared<P>, life: u64) -> Word {
     let balance = shared.balance();
     let loads = balance.loads(shared.now()).into_iter().take(MAX_ITEMS).collect();
-    let suspects = balance.suspects().take(MAX_ITEMS).map(|it| hash(&it.id)).collect();
+    let suspects = balance.suspects().take(MAX_SUSPECTS).map(|it| hash(&it.id)).collect();
     drop(balance);
     Word {
         name: shared.settings.instance.clone(),
@@ -167,6 +241,8 @@
         store: shared.is_store_up(),
         seen: shared.seen.load(Ordering::Relaxed),
         leaving: shared.stopping.load(Ordering::Relaxed),
+        often: true,
+        sum: false,
         loads,
         suspects,
     }
@@ -191,7 +267,11 @@
         return;
     }
     let loads: HashMap<u64, Load> = word.loads.iter().take(MAX_ITEMS).copied().collect();
-    shared.balance().hear_peer(now, hash(&word.name), &loads);
+    let source = if word.sum { &word.failure_domain } else { &word.name };
+    let near = word.failure_domain == shared.settings.failure_domain;
+    if word.often && !(word.sum && near) {
+        shared.balance().hear_peer(now, hash(source), &loads);
+    }
     if word.seen && !shared.seen.swap(true, Ordering::Relaxed) {
         shared.changed.notify_waiters();
     }
@@ -205,8 +285,11 @@
         owner: word.owner,
         store: word.store,
         leaving: word.leaving,
+        often: word.often,
+        loads: if word.sum { Vec::new() } else { word.loads },
         suspects: word.suspects,
     };
+    state.peers.retain(|_, it| now.since(it.heard) < FORGET);
     state.peers.insert(word.name, peer);
     drop(state);
     if news {
--- a/gateway/src/port.rs
+++ b/gateway/src/port.rs
@@ -195,6 +195,8 @@
 pub struct Entry {
     /// Where it hears its peers.
     pub address: SocketAddr,
+    /// The failure domain that it runs in.
+    pub failure_domain: String,
 }
 
 /// Who gives orders to the instances.
