--- a/decision/src/gateway/fleet.rs
+++ b/decision/src/gateway/fleet.rs
@@ -126,6 +126,9 @@
     changes: u64,
 }
 
+/// Members of a replica with their ranks.
+type Ranked = Vec<(u32, Arc<str>)>;
+
 /// Time for which an instance whose entry is gone is remembered.
 const DEPARTED: Duration = Duration::from_secs(15);
 
@@ -267,7 +270,7 @@
     /// whole is up to their owner, who opens no others and closes those that aren't any more.
     pub fn replicas(&self, service: &Service) -> Vec<Replica> {
         let Some(engine) = &service.engine else { return Vec::new() };
-        let mut members: HashMap<(&str, u64), Vec<(u32, Arc<str>)>> = HashMap::new();
+        let mut members: HashMap<(&str, u64), Ranked> = HashMap::new();
         let all = self.instances.values().map(|it| &it.instance);
         for instance in all.chain(self.departed.values().map(|(_, it)| it)) {
             let Some(member) = &instance.member else { continue };
--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -18,6 +18,9 @@
 /// How far a model may get ahead of the one that is missed most, by cost.
 const MAX_EXCESS: f64 = 1.15;
 
+/// How far a model must be ahead, by cost, for one of its replicas to give way.
+const FAR_AHEAD: f64 = 1.4;
+
 /// Instances of one fabric domain whose entries go together because of a cut, not one by one.
 const MANY: usize = 3;
 
@@ -35,6 +38,9 @@
     pub slack: Duration,
     /// Window in which loads are counted.
     pub load_window: Duration,
+    /// Time without a change of the free instances after which a replica may give way to another
+    /// model.
+    pub rebalance: Duration,
     /// Longest time that a head which stops has for the requests that it runs.
     pub closing: Duration,
     /// Time without a new instance after which the first replicas are formed at a first start,
@@ -159,6 +165,8 @@
     since: Time,
     /// When its end began.
     ended: Time,
+    /// Members that have left it at its end.
+    gone: HashSet<Arc<str>>,
     stage: Stage,
 }
 
@@ -201,6 +209,7 @@
             repeat: Duration::from_millis(700),
             slack: Duration::from_secs(4),
             load_window: Duration::from_secs(5),
+            rebalance: Duration::from_secs(8),
             closing: Duration::from_millis(2_500),
             settle: Duration::from_millis(400),
             vouched: Duration::from_millis(2_000),
@@ -346,6 +355,7 @@
         if self.loads_free && now.since(self.grown) < self.settings.settle {
             return actions;
         }
+        self.rebalance(now, engine, &all, &free);
         self.form(now, engine, &all, &mut free, &mut actions);
         self.stage(now, engine, &all, &free, &mut actions);
         actions
@@ -397,7 +407,8 @@
             let sound = |(_, it): &(u32, State)| !matches!(it, State::Closing | State::Broken);
             // An open head was opened by an owner that saw all members ready.
             let open = states.first() == Some(&(0, State::Open));
-            if !open && !(full && states.iter().all(sound)) {
+            let whole = full && states.iter().all(sound);
+            if !open && !whole {
                 continue;
             }
             let joining = states.iter().any(|(_, it)| *it == State::Joining);
@@ -407,6 +418,7 @@
                 born: members.iter().map(|it| it.born).collect(),
                 since: now,
                 ended: now,
+                gone: HashSet::new(),
                 stage: if open || !joining { Stage::Whole } else { Stage::Forming },
             };
             self.groups.insert(key, group);
@@ -429,12 +441,12 @@
                 Stage::Whole => self.whole(now, all, &key, &mut group, actions),
                 Stage::Ending => true,
             };
-            let keep = keep && self.ending(now, all, &key, &group, actions);
+            let keep = keep && self.ending(now, all, &key, &mut group, actions);
             if keep {
                 self.groups.insert(key, group);
                 continue;
             }
-            // Without its head, the replica can't serve, and its members are free at once.
+            // Its head has left or is another process: it can't serve, and its members are free.
             let members = group.members.into_iter().map(|id| ((id, key.clone()), now));
             self.left.extend(members);
         }
@@ -487,19 +499,11 @@
         group: &mut Group,
         actions: &mut Vec<Action>,
     ) -> bool {
-        let head = group.members[0].clone();
-        let lost = group.places().any(|(id, born)| {
-            let least = if *id == head { Presence::Listed } else { Presence::Departed };
-            let sound = self.is_sound(now, all, id, born, least);
-            let leaves = all.get(id).is_some_and(|it| it.phase == Phase::Draining);
-            let stays = leaves && *id != head && self.is_present(now, all, id, born);
-            let stays = stays && self.replacements(now, all, group, id) == 0;
-            !(sound || stays) || matches!(self.state(all, id, key), None | Some(State::Broken))
-        });
-        if lost {
+        if self.is_lost(now, all, key, group) {
             group.end(now);
             return true;
         }
+        let head = group.members[0].clone();
         if self.state(all, &head, key) == Some(State::Ready) {
             let order = Order::Open { group: key.0.clone(), epoch: key.1 };
             self.send(now, all, &head, order, actions);
@@ -507,6 +511,19 @@
         true
     }
 
+    /// Whether a replica that was whole has lost a member, or is losing one that can be replaced.
+    fn is_lost(&self, now: Time, all: &Instances<'_>, key: &Key, group: &Group) -> bool {
+        let head = &group.members[0];
+        group.places().any(|(id, born)| {
+            let least = if id == head { Presence::Listed } else { Presence::Departed };
+            let sound = self.is_sound(now, all, id, born, least);
+            let leaves = all.get(id).is_some_and(|it| it.phase == Phase::Draining);
+            let stays = leaves && id != head && self.is_present(now, all, id, born);
+            let stays = stays && self.replacements(now, all, group, id) == 0;
+            !(sound || stays) || matches!(self.state(all, id, key), None | Some(State::Broken))
+        })
+    }
+
     /// Free instances that could take the place of `member` at once. A member that leaves stays as
     /// long as its head has work, so that nothing is won by ending the replica before.
     fn replacements(&self, now: Time, all: &Instances<'_>, group: &Group, member: &str) -> usize {
@@ -522,45 +539,69 @@
 
     /// Ends a replica. Returns whether it still has to be kept, since its head may serve.
     ///
-    /// Its members may only be used elsewhere once the head has left, or, where the head can't be
-    /// reached and may live behind a cut, once all other members have left it.
+    /// Its members may be used elsewhere once the head has left. A head that can't be reached may
+    /// live behind a cut and serve there: then only those members are free that have left it
+    /// themselves, and if all others can be reached again before, it goes on.
     fn ending(
         &mut self,
         now: Time,
         all: &Instances<'_>,
         key: &Key,
-        group: &Group,
+        group: &mut Group,
         actions: &mut Vec<Action>,
     ) -> bool {
         if group.stage != Stage::Ending {
             return true;
         }
-        let (name, epoch) = (key.0.clone(), key.1);
-        let head = &group.members[0];
-        if self.is_reachable(now, all, head) {
-            let state = self.state(all, head, key);
-            let whole = group.places().all(|(id, born)| self.is_present(now, all, id, born));
-            let patient = whole && now.since(group.ended) < self.settings.closing;
-            let order = match state {
-                Some(State::Open | State::Closing) if patient => {
-                    Order::Close { group: name, epoch, mode: Close::Wait }
-                }
-                Some(_) => Order::Leave { group: name, epoch },
-                None => return false,
-            };
-            self.send(now, all, head, order, actions);
-            return true;
+        let head = group.members[0].clone();
+        if self.is_reachable(now, all, &head) {
+            return self.end_head(now, all, key, group, actions);
+        }
+        if all.recall(&head).is_none_or(|it| it.born != group.born[0]) {
+            return false;
         }
-        let mut staying = false;
         for id in &group.members[1..] {
-            if self.state(all, id, key).is_none() || !self.is_reachable(now, all, id) {
+            if !self.is_reachable(now, all, id) {
+                continue;
+            }
+            if self.state(all, id, key).is_none() {
+                group.gone.insert(id.clone());
                 continue;
             }
-            staying = true;
-            let order = Order::Leave { group: key.0.clone(), epoch };
+            let order = Order::Leave { group: key.0.clone(), epoch: key.1 };
             self.send(now, all, id, order, actions);
         }
-        staying
+        true
+    }
+
+    /// Tells a head that can be reached to stop. Returns whether it is still a member.
+    fn end_head(
+        &mut self,
+        now: Time,
+        all: &Instances<'_>,
+        key: &Key,
+        group: &mut Group,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let (name, epoch) = (key.0.clone(), key.1);
+        let head = group.members[0].clone();
+        let state = self.state(all, &head, key);
+        let intact = group.gone.is_empty() && !self.is_lost(now, all, key, group);
+        if state == Some(State::Open) && intact {
+            group.stage = Stage::Whole;
+            return true;
+        }
+        let whole = group.places().all(|(id, born)| self.is_present(now, all, id, born));
+        let patient = whole && now.since(group.ended) < self.settings.closing;
+        let order = match state {
+            Some(State::Open | State::Closing) if patient => {
+                Order::Close { group: name, epoch, mode: Close::Wait }
+            }
+            Some(_) => Order::Leave { group: name, epoch },
+            None => return false,
+        };
+        self.send(now, all, &head, order, actions);
+        true
     }
 
     /// The instances that belong to no replica, by fabric domain.
@@ -570,8 +611,10 @@
         all: &Instances<'a>,
         actions: &mut Vec<Action>,
     ) -> BTreeMap<Arc<str>, Vec<&'a Instance>> {
-        let taken: HashSet<&str> =
-            self.groups.values().flat_map(|it| it.members.iter().map(|it| &**it)).collect();
+        let members =
+            |it: &Group| it.members.iter().filter(|id| !it.gone.contains(*id)).cloned().collect();
+        let taken: HashSet<Arc<str>> =
+            self.groups.values().flat_map(|it| -> Vec<Arc<str>> { members(it) }).collect();
         let mut strays = Vec::new();
         let mut free: BTreeMap<Arc<str>, Vec<&Instance>> = BTreeMap::new();
         for (instance, presence) in all.known.values() {
@@ -619,6 +662,9 @@
                 let room = instances.len().saturating_sub(self.reserve(engine, all, fabric));
                 let fits = engine.models.iter().filter(|it| it.size <= room);
                 for model in fits.filter(|it| self.is_formable(all, it, instances)) {
+                    if is_in_the_way(engine, model, &counts, room) {
+                        continue;
+                    }
                     let cost = cost(model, &counts);
                     if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                         best = Some((cost, model, fabric.clone()));
@@ -702,11 +748,51 @@
             members,
             since: now,
             ended: now,
+            gone: HashSet::new(),
             stage: Stage::Forming,
         };
         self.groups.insert((group, epoch), formed);
     }
 
+    /// Ends a replica of a model that is far ahead, where its instances would complete one of the
+    /// model that is missed most.
+    fn rebalance(
+        &mut self,
+        now: Time,
+        engine: &Engine,
+        all: &Instances<'_>,
+        free: &BTreeMap<Arc<str>, Vec<&Instance>>,
+    ) {
+        let settled = self.groups.values().all(|it| it.stage == Stage::Whole);
+        let counts = self.counts();
+        let missed =
+            engine.models.iter().min_by(|a, b| cost(a, &counts).total_cmp(&cost(b, &counts)));
+        let Some(missed) = missed.filter(|_| settled && !self.loads_free) else { return };
+        let ahead = |it: &Group| {
+            let model = engine.model(&it.model).filter(|it| it.name != missed.name)?;
+            let ratio = last_cost(model, &counts) / cost(missed, &counts);
+            (ratio >= FAR_AHEAD).then_some(model.size)
+        };
+        for (fabric, instances) in free {
+            let long = self
+                .calm
+                .get(fabric)
+                .is_some_and(|(_, since)| now.since(*since) >= self.settings.rebalance);
+            if !long || self.is_hasty(all, fabric) || self.is_served(all, fabric, missed) {
+                continue;
+            }
+            let group = self.groups.values_mut().find(|it| {
+                let size = ahead(it).filter(|_| it.is_in(all, fabric));
+                size.is_some_and(|size| {
+                    instances.len() < missed.size && instances.len() + size >= missed.size
+                })
+            });
+            if let Some(group) = group {
+                return group.end(now);
+            }
+        }
+    }
+
     /// Stages weights on free instances: what is missed for one more replica, and else what heals
     /// the replicas around them, so that neither needs a load from the weight store then.
     fn stage(
@@ -873,7 +959,7 @@
     /// Whether `fabric` has a replica of `model`.
     fn is_served(&self, all: &Instances<'_>, fabric: &Arc<str>, model: &Model) -> bool {
         let mut groups = self.groups.values().filter(|it| it.model == model.name);
-        groups.any(|it| it.is_in(all, fabric))
+        groups.any(|it| it.gone.is_empty() && it.is_in(all, fabric))
     }
 
     /// Whether instances of `fabric` are probably only cut off. They come back with their weights
@@ -991,6 +1077,26 @@
     (count + 1.0) / wanted.max(f64::MIN_POSITIVE)
 }
 
+/// What the last replica of `model` cost.
+fn last_cost(model: &Model, counts: &HashMap<Arc<str>, usize>) -> f64 {
+    let count = counts.get(&model.name).copied().unwrap_or_default() as f64;
+    let wanted = model.share / model.size as f64;
+    count / wanted.max(f64::MIN_POSITIVE)
+}
+
+/// Whether a replica of `model`, which is far ahead, would take instances that could complete one
+/// of the model that is missed most, out of `room`.
+fn is_in_the_way(
+    engine: &Engine,
+    model: &Model,
+    counts: &HashMap<Arc<str>, usize>,
+    room: usize,
+) -> bool {
+    let others = engine.models.iter().filter(|it| it.name != model.name);
+    let mut behind = others.filter(|it| cost(model, counts) >= FAR_AHEAD * cost(it, counts));
+    behind.any(|it| it.size <= room && room - model.size < it.size)
+}
+
 /// Whether one more replica of `model` is due. If another model is missed far more, instances
 /// rather wait for what it lacks than serve what is not asked for.
 fn is_due(model: &Model, engine: &Engine, counts: &HashMap<Arc<str>, usize>) -> bool {
--- a/decision/tests/gateway/balance.rs
+++ b/decision/tests/gateway/balance.rs
@@ -26,10 +26,9 @@
 }
 
 fn send(balance: &mut Balance, now: Time, ask: &Ask) -> Key {
-    match balance.choose(now, "models", ask) {
-        Choice::Send(key) => key,
-        other => panic!("not sent: {other:?}"),
-    }
+    let choice = balance.choose(now, "models", ask);
+    assert!(matches!(choice, Choice::Send(_)), "not sent: {choice:?}");
+    if let Choice::Send(key) = choice { key } else { Key::default() }
 }
 
 fn id(balance: &Balance, key: Key) -> Arc<str> {
--- a/decision/tests/gateway/formation.rs
+++ b/decision/tests/gateway/formation.rs
@@ -82,6 +82,23 @@
     assert!(!world.is_serving(&cut), "requests still go to the head that isn't listed");
 }
 
+/// Whenever the cut heals, the world panics if a member is taken while its head serves.
+#[test]
+fn replicas_behind_a_cut_are_left_alone_and_go_on_after_it() {
+    for millis in (4_000..8_000).step_by(250) {
+        let mut world = formed(9);
+        let hidden: Vec<Arc<str>> =
+            world.hosts.keys().filter(|it| it.starts_with("i0-")).cloned().collect();
+        let before = world.members();
+        hidden.iter().for_each(|it| world.hide(it, true));
+        world.run(millis);
+        hidden.iter().for_each(|it| world.hide(it, false));
+        world.run(8_000);
+        assert_eq!(world.members(), before);
+        assert_eq!((world.serving("large"), world.serving("small")), (2, 2));
+    }
+}
+
 #[test]
 fn a_new_owner_takes_over_what_serves() {
     let mut world = formed(5);
@@ -119,6 +136,7 @@
 enum Event {
     Kill(usize),
     Cut(usize),
+    Hide(usize),
     Heal(usize),
     Restart(usize),
     Add(usize),
@@ -130,6 +148,7 @@
     prop_oneof![
         (0..22_usize).prop_map(Event::Kill),
         (0..22_usize).prop_map(Event::Cut),
+        (0..22_usize).prop_map(Event::Hide),
         (0..22_usize).prop_map(Event::Heal),
         (0..22_usize).prop_map(Event::Restart),
         (0..2_usize).prop_map(Event::Add),
@@ -155,7 +174,8 @@
             match event {
                 Event::Kill(it) => world.kill(&ids[it]),
                 Event::Cut(it) => world.cut(&ids[it], true),
-                Event::Heal(it) => world.cut(&ids[it], false),
+                Event::Hide(it) => world.hide(&ids[it], true),
+                Event::Heal(it) => world.hide(&ids[it], false),
                 Event::Restart(it) => world.restart(&ids[it]),
                 Event::Add(it) => world.add(&format!("n{place}"), &format!("f{it}")),
                 Event::Owner => world.replace_owner(),
--- a/decision/tests/gateway/world.rs
+++ b/decision/tests/gateway/world.rs
@@ -37,6 +37,8 @@
     dead: bool,
     /// Since when it is cut off from the list.
     cut: Option<u64>,
+    /// Whether it is cut off from the owner too, while it serves others.
+    hidden: bool,
     broken_at: Option<u64>,
     fence: u64,
 }
@@ -112,6 +114,14 @@
         }
     }
 
+    /// Cuts a host off from the list and from the owner, and not from those that it serves.
+    pub(crate) fn hide(&mut self, id: &str, on: bool) {
+        self.cut(id, on);
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.hidden = on;
+        }
+    }
+
     pub(crate) fn restart(&mut self, id: &str) {
         if let Some(host) = self.hosts.get_mut(id) {
             let instance = Instance {
@@ -178,7 +188,7 @@
             let fence = self.formation.fence();
             let born = survey.iter().find(|(it, _)| it.id == action.id).map(|(it, _)| it.born);
             let born = born.unwrap_or_default();
-            if self.hosts.get(&action.id).is_none_or(|it| it.dead) {
+            if self.hosts.get(&action.id).is_none_or(|it| it.dead || it.hidden) {
                 self.formation.lost(now, &action.id, born);
             } else if self.random.random_bool(self.lost_share) {
                 let delay = self.random.random_range(2_000..6_000);
@@ -196,7 +206,7 @@
         for (id, _) in self.formation.doubtful() {
             let Some(host) = self.hosts.get(&id) else { continue };
             let born = host.instance.born;
-            if host.dead {
+            if host.dead || host.hidden {
                 self.formation.lost(now, &id, born);
                 continue;
             }
@@ -345,6 +355,7 @@
             ready_at: 0,
             dead: false,
             cut: None,
+            hidden: false,
             broken_at: None,
             fence: 0,
         }
--- a/gateway/src/body.rs
+++ b/gateway/src/body.rs
@@ -11,10 +11,10 @@
 
 /// The body of an answer to a caller.
 #[derive(Debug)]
-pub struct Answer {
+pub(crate) struct Answer {
     content: Content,
     /// Counts the answer as unfinished at its connection.
-    open: Option<Arc<()>>,
+    _open: Option<Arc<()>>,
 }
 
 #[derive(Debug)]
@@ -28,22 +28,22 @@
 /// A stream ends before it is whole. The connection is closed so that the caller sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the stream broke off")]
-pub struct Broken;
+pub(crate) struct Broken;
 
 impl Answer {
     /// A body that is there as a whole.
-    pub fn whole(bytes: impl Into<Bytes>) -> Answer {
-        Answer { content: Content::Whole(Full::new(bytes.into())), open: None }
+    pub(crate) fn whole(bytes: impl Into<Bytes>) -> Answer {
+        Answer { content: Content::Whole(Full::new(bytes.into())), _open: None }
     }
 
     /// A body that comes piece by piece.
-    pub fn stream(pieces: mpsc::Receiver<Result<Bytes, Broken>>) -> Answer {
-        Answer { content: Content::Stream(pieces), open: None }
+    pub(crate) fn stream(pieces: mpsc::Receiver<Result<Bytes, Broken>>) -> Answer {
+        Answer { content: Content::Stream(pieces), _open: None }
     }
 
     /// Holds `open` until the body has been sent or dropped.
-    pub fn holding(self, open: Arc<()>) -> Answer {
-        Answer { open: Some(open), ..self }
+    pub(crate) fn holding(self, open: Arc<()>) -> Answer {
+        Answer { _open: Some(open), ..self }
     }
 }
 
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -2,7 +2,6 @@
 
 use bytes::Bytes;
 use decision::gateway::balance::End;
-use decision::prelude::*;
 use http::{Response, StatusCode, header, response};
 use http_body_util::{BodyExt as _, Limited};
 use tokio::time::timeout_at;
@@ -30,7 +29,7 @@
 }
 
 /// Sends a request until it has an answer, and answers the caller.
-pub async fn run<P: Platform>(mut job: Job<P>) -> Response<Answer> {
+pub(crate) async fn run<P: Platform>(mut job: Job<P>) -> Response<Answer> {
     let mut unknown: Option<StatusCode> = None;
     loop {
         let place = match job.place(false).await {
--- a/gateway/src/clock.rs
+++ b/gateway/src/clock.rs
@@ -7,26 +7,26 @@
 
 /// Counts from the start of the process.
 #[derive(Clone, Copy, Debug)]
-pub struct Clock {
+pub(crate) struct Clock {
     start: Instant,
     suspended: i64,
 }
 
 impl Clock {
     /// Starts to count.
-    pub fn start() -> Clock {
+    pub(crate) fn start() -> Clock {
         Clock { start: Instant::now(), suspended: suspended() }
     }
 
     /// The time now.
-    pub fn now(&self) -> Time {
+    pub(crate) fn now(&self) -> Time {
         let since = u64::try_from((suspended() - self.suspended).max(0)).unwrap_or_default();
         let running = self.start.elapsed().as_micros();
         Time::from_micros(u64::try_from(running).unwrap_or(u64::MAX).saturating_add(since))
     }
 
     /// The runtime's instant at `time`, as long as the instance isn't suspended before then.
-    pub fn instant(&self, time: Time) -> Instant {
+    pub(crate) fn instant(&self, time: Time) -> Instant {
         Instant::now() + time.since(self.now())
     }
 }
--- a/gateway/src/journal.rs
+++ b/gateway/src/journal.rs
@@ -29,13 +29,13 @@
 /// A decision, or a change of what this entry believes.
 #[derive(Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
-pub enum Event<'a> {
+pub(crate) enum Event<'a> {
     /// The process has started.
     Started { instance: &'a str, failure_domain: &'a str, version: &'a str },
     /// The process was asked to stop.
     Stopping { open: usize },
     /// The settings were read again.
-    Reloaded { changed: bool },
+    Reloaded { changed: bool, error: &'a str },
     /// The store, or one kind of object in it, can't be read.
     Lost { dependency: &'a str, kind: Kind, reason: &'a str },
     /// It can be read again.
@@ -97,7 +97,7 @@
 
 /// Writes events.
 #[derive(Clone, Debug)]
-pub struct Journal {
+pub(crate) struct Journal {
     shared: Arc<Shared>,
 }
 
@@ -112,7 +112,7 @@
 struct State {
     batch: Vec<u8>,
     dropped: u64,
-    dropped_total: u64,
+    lost: u64,
     second: u64,
     lines: u32,
 }
@@ -126,14 +126,14 @@
 
 impl Journal {
     /// Writes to `sink` from a thread of its own.
-    pub fn new(clock: Clock, sink: impl Write + Send + 'static) -> Journal {
+    pub(crate) fn new(clock: Clock, sink: impl Write + Send + 'static) -> Journal {
         let (batches, receiver) = sync_channel(BATCHES);
         std::thread::spawn(move || write(&receiver, sink));
         Journal { shared: Arc::new(Shared { clock, batches, state: Mutex::default() }) }
     }
 
     /// Hands on what was gathered, again and again.
-    pub async fn run(self) {
+    pub(crate) async fn run(self) {
         loop {
             tokio::time::sleep(BATCH_TIME).await;
             self.flush();
@@ -141,12 +141,12 @@
     }
 
     /// Notes an event.
-    pub fn note(&self, event: &Event<'_>) {
+    pub(crate) fn note(&self, event: &Event<'_>) {
         let now = self.shared.clock.now();
         let mut state = self.shared.state();
         if !state.may_write(now) {
             state.dropped += 1;
-            state.dropped_total += 1;
+            state.lost += 1;
             return;
         }
         state.push(now, event);
@@ -156,7 +156,7 @@
     }
 
     /// Hands on what was gathered.
-    pub fn flush(&self) {
+    pub(crate) fn flush(&self) {
         let mut state = self.shared.state();
         let lines = std::mem::take(&mut state.dropped);
         if lines > 0 {
@@ -165,9 +165,9 @@
         self.shared.hand_on(&mut state);
     }
 
-    /// Lines that were dropped so far.
-    pub fn dropped(&self) -> u64 {
-        self.shared.state().dropped_total
+    /// Lines that were lost since the start.
+    pub(crate) fn lost(&self) -> u64 {
+        self.shared.state().lost
     }
 }
 
@@ -185,7 +185,7 @@
             Err(TrySendError::Full(batch) | TrySendError::Disconnected(batch)) => {
                 let lines = batch.iter().filter(|it| **it == b'\n').count() as u64;
                 state.dropped += lines;
-                state.dropped_total += lines;
+                state.lost += lines;
             }
         }
     }
@@ -211,7 +211,7 @@
                 // Half a line must not spoil the next one; the loss is counted.
                 self.batch.truncate(length);
                 self.dropped += 1;
-                self.dropped_total += 1;
+                self.lost += 1;
             }
         }
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -2,27 +2,37 @@
 //!
 //! Requests and answers pass through unread. [`port::Platform`] translates between the platform
 //! and the product; decisions are those of [`decision::gateway`].
+//!
+//! | part | job |
+//! | --- | --- |
+//! | `intake`, `request`, `call`, `stream` | callers' requests, from the first byte to the last |
+//! | `follow`, `relay`, [`mirror`], `apply` | what the store says, read there or at a peer |
+//! | `owner` | orders to instances, by one entry at a time |
+//! | `peers` | what entries tell each other |
+//! | [`pool`] | connections to targets and to the store |
+//! | `journal`, `metrics`, `ready` | what an operator sees |
 
-pub mod body;
+mod apply;
+mod body;
 mod call;
-pub mod clock;
+mod clock;
 pub mod daemon;
 pub mod error;
 mod follow;
 mod intake;
-pub mod journal;
-pub mod metrics;
+mod journal;
+mod metrics;
 pub mod mirror;
 mod owner;
-pub mod peers;
+mod peers;
 pub mod pool;
 pub mod port;
 mod ready;
-pub mod relay;
-pub mod request;
+mod relay;
+mod request;
 pub mod settings;
 pub mod splitter;
-pub mod state;
+mod state;
 mod stream;
 
 pub use error::Error;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -13,7 +13,7 @@
 
 /// Counters and histograms.
 #[derive(Debug, Default)]
-pub struct Metrics {
+pub(crate) struct Metrics {
     state: Mutex<State>,
 }
 
@@ -32,7 +32,7 @@
 
 impl Metrics {
     /// Counts one of `name` with `labels`, written as in the text format.
-    pub fn count(&self, name: &'static str, labels: &str) {
+    pub(crate) fn count(&self, name: &'static str, labels: &str) {
         let mut state = self.state();
         let room = state.counters.len() < MAX_SERIES;
         let key = (name, if room { labels.to_owned() } else { String::new() });
@@ -40,7 +40,7 @@
     }
 
     /// Adds a duration to the histogram `name` with `labels`.
-    pub fn time(&self, name: &'static str, labels: &str, time: Duration) {
+    pub(crate) fn time(&self, name: &'static str, labels: &str, time: Duration) {
         let mut state = self.state();
         let room = state.histograms.len() < MAX_SERIES;
         let key = (name, if room { labels.to_owned() } else { String::new() });
@@ -54,7 +54,7 @@
     }
 
     /// All of them in the Prometheus text format, with `gauges` added.
-    pub fn text(&self, gauges: &[(&'static str, f64)]) -> String {
+    pub(crate) fn text(&self, gauges: &[(&'static str, f64)]) -> String {
         let state = self.state();
         let mut text = String::new();
         for ((name, labels), count) in &state.counters {
--- a/gateway/src/mirror.rs
+++ b/gateway/src/mirror.rs
@@ -26,28 +26,15 @@
     history: VecDeque<(u64, Changes)>,
 }
 
-/// What a peer asks for.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub struct Question {
-    /// The kind of objects.
-    pub kind: Kind,
-    /// The revision that the peer has, if any.
-    pub since: Option<u64>,
-    /// Longest time to wait for a change, in milliseconds.
-    pub wait_ms: u32,
-}
-
-/// What a peer is told.
+/// What a peer tells of one kind.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Answer {
-    /// All objects, if the peer's revision is unknown or too old.
+pub struct News {
+    /// The kind.
+    pub kind: Kind,
+    /// All objects, if the asker's revision is unknown or too old.
     pub list: Option<Vec<Item>>,
-    /// What has changed since the peer's revision.
+    /// What has changed since the asker's revision.
     pub changes: Changes,
-    /// Age of this knowledge, in milliseconds.
-    pub age_ms: u32,
-    /// How long the question was held, in milliseconds.
-    pub held_ms: u32,
 }
 
 impl Mirror {
@@ -57,7 +44,7 @@
         objects.items = items.iter().map(|it| (it.name.clone(), it.clone())).collect();
         objects.history.clear();
         objects.revision = revision;
-        objects.known = Some(known);
+        objects.known = objects.known.max(Some(known));
     }
 
     /// Takes changes that follow on what is known.
@@ -82,7 +69,23 @@
         }
     }
 
-    /// Whether there is something that a peer which has `since` doesn't know.
+    /// Forgets a kind, so that it is listed anew. What was read of it stays in force meanwhile.
+    pub fn forget(&mut self, kind: Kind) {
+        self.kinds.remove(&kind);
+    }
+
+    /// The revision up to which all changes of `kind` are known.
+    pub fn revision(&self, kind: Kind) -> Option<u64> {
+        let objects = self.kinds.get(&kind)?;
+        objects.known.map(|_| objects.revision)
+    }
+
+    /// When `kind` was last known to be up to date.
+    pub fn known(&self, kind: Kind) -> Option<Time> {
+        self.kinds.get(&kind)?.known
+    }
+
+    /// Whether there is something of `kind` that a peer which has `since` doesn't know.
     pub fn has_news(&self, kind: Kind, since: Option<u64>) -> bool {
         let Some(objects) = self.kinds.get(&kind).filter(|it| it.known.is_some()) else {
             return false;
@@ -91,23 +94,19 @@
         since.is_none_or(|it| it < last || it < objects.oldest())
     }
 
-    /// What to tell a peer that has `since`, or nothing if this entry knows nothing itself.
-    pub fn answer(&self, now: Time, kind: Kind, since: Option<u64>) -> Option<Answer> {
-        let objects = self.kinds.get(&kind)?;
-        let age = now.since(objects.known?);
-        let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+    /// What to tell of `kind` to a peer that has `since`, if this entry knows it itself.
+    pub fn news(&self, kind: Kind, since: Option<u64>) -> Option<News> {
+        let objects = self.kinds.get(&kind).filter(|it| it.known.is_some())?;
         let revision = objects.revision;
         let Some(since) = since.filter(|it| *it >= objects.oldest()) else {
             let list = objects.items.values().cloned().collect();
             let changes = Changes { revision, ..Changes::default() };
-            return Some(Answer { list: Some(list), changes, age_ms, held_ms: 0 });
+            return Some(News { kind, list: Some(list), changes });
         };
         let mut changes = Changes { revision: revision.max(since), ..Changes::default() };
-        let news = objects.history.iter().filter(|(_, it)| it.revision > since);
-        for (_, change) in news {
-            changes.follow(change);
-        }
-        Some(Answer { list: None, changes, age_ms, held_ms: 0 })
+        let later = objects.history.iter().filter(|(_, it)| it.revision > since);
+        later.for_each(|(_, it)| changes.follow(it));
+        Some(News { kind, list: None, changes })
     }
 }
 
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -86,7 +86,7 @@
 }
 
 /// Takes part in the ownership until the process ends.
-pub async fn run<P: Platform>(shared: Arc<Shared<P>>, life: u64) {
+pub(crate) async fn run<P: Platform>(shared: Arc<Shared<P>>, life: u64) {
     let (results, mut receiver) = mpsc::channel(1_024);
     let vacant_since = shared.now();
     let mut owner = Owner {
@@ -149,7 +149,7 @@
             return false;
         }
         let alive = self.shared.peers.alive(now);
-        let own = &self.shared.settings.instance;
+        let own = &self.shared.settings().instance;
         let before = alive.iter().filter(|it| *it < own).count() as u32;
         let mut wait = VACANT + VACANT_STEP * before;
         if (alive.len() + 1) * 2 < entries {
@@ -161,7 +161,7 @@
     /// Takes the lease, if nobody else does at the same time.
     async fn acquire(&mut self) {
         self.vacant_since = self.shared.now();
-        let store = self.shared.settings.store;
+        let store = self.shared.settings().store;
         let platform = &self.shared.platform;
         let list = platform.list(store, Kind::Leases, None);
         let Ok(answer) = self.shared.store.call(store, list, STORE, MAX_ANSWER).await else {
@@ -182,7 +182,8 @@
             },
             None => (When::Absent, 1),
         };
-        let lease = Lease { holder: self.shared.settings.instance.clone(), life: self.life, fence };
+        let lease =
+            Lease { holder: self.shared.settings().instance.clone(), life: self.life, fence };
         let Ok(value) = serde_json::to_value(&lease) else { return };
         let write = Write { kind: Kind::Leases, name: LEASE, when, value };
         let put = platform.put(store, &write);
@@ -228,7 +229,7 @@
                 .formations
                 .entry(service.name.clone())
                 .or_insert_with(|| Formation::new(fence, formation::Settings::default()));
-            formation.free_loads(!seen && self.shared.settings.first_start);
+            formation.free_loads(!seen && self.shared.settings().first_start);
             let of = instances.iter().filter(|(it, _)| it.service == service.name);
             let actions = formation.plan(now, engine, of.map(|(it, presence)| (&**it, *presence)));
             doubtful.extend(formation.doubtful());
@@ -374,6 +375,6 @@
 }
 
 /// Whether a write was refused since the object is there already.
-pub fn exists(status: StatusCode) -> bool {
+pub(crate) fn exists(status: StatusCode) -> bool {
     status == StatusCode::CONFLICT
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -65,7 +65,7 @@
 
 /// What this entry last heard of its peers.
 #[derive(Debug, Default)]
-pub struct Peers {
+pub(crate) struct Peers {
     state: Mutex<State>,
 }
 
@@ -90,32 +90,32 @@
 
 impl Peers {
     /// Says under which fencing token this entry gives orders, if it does.
-    pub fn own(&self, fence: Option<u64>) {
+    pub(crate) fn own(&self, fence: Option<u64>) {
         self.state().own = fence;
     }
 
     /// Names of the peers that are alive and don't leave.
-    pub fn alive(&self, now: Time) -> Vec<String> {
+    pub(crate) fn alive(&self, now: Time) -> Vec<String> {
         let state = self.state();
         let alive = state.peers.iter().filter(|(_, it)| it.is_alive(now) && !it.leaving);
         alive.map(|(name, _)| name.clone()).collect()
     }
 
     /// The highest fencing token under which a living peer gives orders.
-    pub fn owner(&self, now: Time) -> Option<u64> {
+    pub(crate) fn owner(&self, now: Time) -> Option<u64> {
         let state = self.state();
         let alive = state.peers.values().filter(|it| it.is_alive(now));
         alive.filter_map(|it| it.owner).max()
     }
 
     /// Whether a living peer reaches the store.
-    pub fn any_with_store(&self, now: Time) -> bool {
+    pub(crate) fn any_with_store(&self, now: Time) -> bool {
         let state = self.state();
         state.peers.values().any(|it| it.is_alive(now) && it.store && !it.leaving)
     }
 
     /// The first living peer of a failure domain by name that reaches the store.
-    pub fn reader(&self, now: Time, failure_domain: &str) -> Option<String> {
+    pub(crate) fn reader(&self, now: Time, failure_domain: &str) -> Option<String> {
         let state = self.state();
         let readers = state.peers.iter().filter(|(_, it)| {
             it.is_alive(now) && it.store && !it.leaving && it.failure_domain == failure_domain
@@ -124,7 +124,7 @@
     }
 
     /// How many living peers suspect each target, by its hash.
-    pub fn suspects(&self, now: Time) -> HashMap<u64, usize> {
+    pub(crate) fn suspects(&self, now: Time) -> HashMap<u64, usize> {
         let mut counts = HashMap::new();
         let state = self.state();
         for peer in state.peers.values().filter(|it| it.is_alive(now)) {
@@ -147,7 +147,7 @@
 }
 
 /// Tells and hears peers on `socket`. `life` identifies this start of the process.
-pub async fn run<P: Platform>(shared: Arc<Shared<P>>, socket: UdpSocket, life: u64) {
+pub(crate) async fn run<P: Platform>(shared: Arc<Shared<P>>, socket: UdpSocket, life: u64) {
     let socket = Arc::new(socket);
     tokio::join!(tell(shared.clone(), socket.clone(), life), hear(shared, socket));
 }
@@ -176,7 +176,7 @@
         return vec![(own, [near, far].concat())];
     }
     let now = shared.now();
-    let settings = &shared.settings;
+    let settings = &shared.settings();
     let reader = shared.peers.reader(now, &settings.failure_domain);
     let reads = own.store && reader.is_none_or(|it| settings.instance < it);
     let far_word = if reads {
@@ -193,10 +193,10 @@
 
 /// Addresses of the peers in this failure domain, and of the others.
 fn addresses<P: Platform>(shared: &Shared<P>) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-    let own = shared.settings.instance.as_str();
+    let settings = shared.settings();
     let knowledge = shared.knowledge();
-    let others = knowledge.entries.iter().filter(|(name, _)| &***name != own);
-    let near = |it: &crate::port::Entry| it.failure_domain == shared.settings.failure_domain;
+    let others = knowledge.entries.iter().filter(|(name, _)| ***name != *settings.instance);
+    let near = |it: &crate::port::Entry| it.failure_domain == settings.failure_domain;
     let (near, far): (Vec<_>, Vec<_>) = others.map(|(_, it)| it).partition(|it| near(it));
     let address = |it: Vec<&crate::port::Entry>| it.into_iter().map(|it| it.address).collect();
     (address(near), address(far))
@@ -210,7 +210,7 @@
     let near = state
         .peers
         .values()
-        .filter(|it| it.is_alive(now) && it.failure_domain == shared.settings.failure_domain);
+        .filter(|it| it.is_alive(now) && it.failure_domain == shared.settings().failure_domain);
     for peer in near {
         for (target, load) in &peer.loads {
             let sum =
@@ -234,8 +234,8 @@
     let suspects = balance.suspects().take(MAX_SUSPECTS).map(|it| hash(&it.id)).collect();
     drop(balance);
     Word {
-        name: shared.settings.instance.clone(),
-        failure_domain: shared.settings.failure_domain.clone(),
+        name: shared.settings().instance.clone(),
+        failure_domain: shared.settings().failure_domain.clone(),
         life,
         owner: shared.peers.state().own,
         store: shared.is_store_up(),
@@ -263,12 +263,12 @@
 
 fn take<P: Platform>(shared: &Shared<P>, word: Word) {
     let now = shared.now();
-    if word.name == shared.settings.instance {
+    if word.name == shared.settings().instance {
         return;
     }
     let loads: HashMap<u64, Load> = word.loads.iter().take(MAX_ITEMS).copied().collect();
     let source = if word.sum { &word.failure_domain } else { &word.name };
-    let near = word.failure_domain == shared.settings.failure_domain;
+    let near = word.failure_domain == shared.settings().failure_domain;
     if word.often && !(word.sum && near) {
         shared.balance().hear_peer(now, hash(source), &loads);
     }
--- a/gateway/src/ready.rs
+++ b/gateway/src/ready.rs
@@ -23,7 +23,7 @@
 const METRICS: &str = "/metrics";
 
 /// Answers questions on `listener`.
-pub async fn serve<P: Platform>(shared: Arc<Shared<P>>, listener: TcpListener) {
+pub(crate) async fn serve<P: Platform>(shared: Arc<Shared<P>>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(20)).await;
@@ -71,7 +71,7 @@
         ("rhubarblatch_instances_age_seconds", age(knowledge.fleet_at)),
         ("rhubarblatch_instances", knowledge.fleet.iter().count() as f64),
         ("rhubarblatch_entries", knowledge.entries.len() as f64),
-        ("rhubarblatch_log_lines_dropped_total", shared.journal.dropped() as f64),
+        ("rhubarblatch_log_lines_dropped_total", shared.journal.lost() as f64),
     ];
     drop(knowledge);
     let suspects = shared.balance().suspects().count() as f64;
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 use decision::prelude::*;
@@ -13,14 +14,25 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
+use crate::apply;
 use crate::error::Call;
-use crate::mirror::{Answer, Question};
-use crate::port::Platform;
+use crate::follow::{KINDS, Source};
+use crate::journal::Event;
+use crate::mirror::News;
+use crate::port::{Kind, Platform};
 use crate::state::Shared;
 
+/// Time for which the store is asked after a peer could not tell.
+const DIRECT: Duration = Duration::from_secs(3);
+
+/// Pause between two looks whether a peer reads the store.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// Path of questions.
 const PATH: &str = "/changes";
 
@@ -37,11 +49,32 @@
 const IDLE: Duration = Duration::from_secs(30);
 
 /// Time beyond its own wait after which a question is given up.
-const PATIENCE: Duration = Duration::from_millis(400);
+const PATIENCE: Duration = Duration::from_millis(300);
+
+/// What a peer asks for.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Question {
+    /// Kinds of objects, and the revision of each that the asker has.
+    since: Vec<(Kind, Option<u64>)>,
+    /// Longest time to wait for a change, in milliseconds.
+    wait_ms: u32,
+}
+
+/// What a peer is told.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Answer {
+    /// What the asker doesn't know, by kind.
+    news: Vec<News>,
+    /// Time since the store last showed that it can be reached, in milliseconds. A cut would
+    /// show in all kinds, so that all are at most as old.
+    age_ms: u32,
+    /// How long the question was held, in milliseconds.
+    held_ms: u32,
+}
 
 /// Why a peer could not tell.
 #[derive(Debug, thiserror::Error)]
-pub enum Error {
+pub(crate) enum Error {
     /// It could not be asked.
     #[error(transparent)]
     Call(#[from] Call),
@@ -107,38 +140,119 @@
     let wait = Duration::from_millis(u64::from(question.wait_ms)).min(MAX_WAIT);
     // Without news in time, the answer says so.
     let _elapsed = timeout(wait, news(shared, &question)).await;
-    let now = shared.now();
-    let answer = shared.mirror().answer(now, question.kind, question.since);
-    let answer = answer.ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
-    let held_ms = u32::try_from(now.since(asked).as_millis()).unwrap_or(u32::MAX);
-    let bytes = rmp_serde::to_vec(&Answer { held_ms, ..answer });
+    let answer = tell_all(shared, &question, asked).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+    let bytes = rmp_serde::to_vec(&answer);
     bytes.map(Bytes::from).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
 
+/// What to tell, if this entry knows anything itself.
+fn tell_all<P>(shared: &Shared<P>, question: &Question, asked: Time) -> Option<Answer> {
+    let now = shared.now();
+    let mirror = shared.mirror();
+    let contact = mirror.known(Kind::Config)?;
+    let news = question.since.iter().filter_map(|(kind, since)| mirror.news(*kind, *since));
+    Some(Answer {
+        news: news.collect(),
+        age_ms: millis(now.since(contact)),
+        held_ms: millis(now.since(asked)),
+    })
+}
+
+/// Waits until there is something that the asker doesn't know.
 async fn news<P: Platform>(shared: &Shared<P>, question: &Question) {
     loop {
         let changed = shared.mirrored.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
-        if shared.mirror().has_news(question.kind, question.since) {
+        if is_behind(shared, question) {
             return;
         }
         changed.await;
     }
 }
 
-/// Asks the peer at `address`.
-///
-/// # Errors
-///
-/// If it can't be asked or does not know itself.
-pub(crate) async fn ask<P: Platform>(
+fn is_behind<P>(shared: &Shared<P>, question: &Question) -> bool {
+    let mirror = shared.mirror();
+    question.since.iter().any(|(kind, since)| mirror.has_news(*kind, *since))
+}
+
+/// Asks the peer that reads the store for this failure domain, and says whether the store has to
+/// be asked instead.
+pub(crate) async fn follow<P: Platform>(shared: Arc<Shared<P>>, source: watch::Sender<Source>) {
+    let mut direct_until = Time::ZERO;
+    loop {
+        let now = shared.now();
+        let reader = reader(&shared).filter(|_| now >= direct_until);
+        let Some(reader) = reader else {
+            source.send_if_modified(|it| std::mem::replace(it, Source::Store) != Source::Store);
+            sleep(LOOK).await;
+            continue;
+        };
+        let told = tell(&shared, reader).await;
+        match told {
+            Ok(()) => {
+                shared.store_up.store(true, Ordering::Relaxed);
+                source.send_if_modified(|it| std::mem::replace(it, Source::Peer) != Source::Peer);
+            }
+            Err(error) => {
+                if *source.borrow() == Source::Peer {
+                    let reason = error.to_string();
+                    let event =
+                        Event::Lost { dependency: "reader", kind: Kind::Config, reason: &reason };
+                    shared.journal.note(&event);
+                }
+                direct_until = shared.now() + DIRECT;
+            }
+        }
+    }
+}
+
+/// The peer that reads the store for this failure domain, if it isn't this entry. Before all
+/// kinds are known, the store is asked.
+fn reader<P: Platform>(shared: &Shared<P>) -> Option<SocketAddr> {
+    let settings = shared.settings();
+    let reader = shared.peers.reader(shared.now(), &settings.failure_domain)?;
+    let mirror = shared.mirror();
+    let known = KINDS.iter().all(|it| mirror.revision(*it).is_some());
+    drop(mirror);
+    if !known || reader >= settings.instance {
+        return None;
+    }
+    shared.knowledge().entries.get(&*reader).map(|it| it.address)
+}
+
+/// Asks `reader` once and takes what it tells.
+async fn tell<P: Platform>(shared: &Shared<P>, reader: SocketAddr) -> Result<(), Error> {
+    let bounds = shared.settings().bounds;
+    let asked = shared.now();
+    let since = {
+        let mirror = shared.mirror();
+        KINDS.map(|kind| (kind, mirror.revision(kind))).to_vec()
+    };
+    let question = Question { since, wait_ms: millis(bounds.relay_wait()) };
+    let answer = ask(shared, reader, &question).await?;
+    let age = Duration::from_millis(u64::from(answer.age_ms));
+    if age > bounds.relay_age() {
+        return Err(Error::Old(age));
+    }
+    // It was told after the question had been held, of a time that lay `age` before.
+    let known = (asked + Duration::from_millis(u64::from(answer.held_ms))).back(age);
+    for News { kind, list, changes } in answer.news {
+        match list {
+            Some(items) => apply::list(shared, kind, changes.revision, known, items),
+            None => apply::changes(shared, kind, known, changes),
+        }
+    }
+    Ok(())
+}
+
+async fn ask<P: Platform>(
     shared: &Shared<P>,
     address: SocketAddr,
-    question: Question,
+    question: &Question,
 ) -> Result<Answer, Error> {
-    // A question of three small fields can always be written.
-    let body = rmp_serde::to_vec(&question).unwrap_or_default();
+    // A question of a few small fields can always be written.
+    let body = rmp_serde::to_vec(question).unwrap_or_default();
     let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::from_static(PATH);
@@ -152,3 +266,7 @@
         status => Err(Error::Status(status)),
     }
 }
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -44,62 +44,62 @@
 ];
 
 /// A request of a caller that may be sent to targets.
-pub struct Job<P> {
+pub(crate) struct Job<P> {
     /// What the entry shares.
-    pub shared: Arc<Shared<P>>,
+    pub(crate) shared: Arc<Shared<P>>,
     /// What its head says.
-    pub head: Head,
+    pub(crate) head: Head,
     /// Its route.
-    pub route: Arc<Route>,
+    pub(crate) route: Arc<Route>,
     /// The service that it goes to.
-    pub service: Arc<Service>,
+    pub(crate) service: Arc<Service>,
     /// The workspace on whose behalf it is made.
-    pub workspace: Option<Arc<str>>,
+    pub(crate) workspace: Option<Arc<str>>,
     /// Method.
-    pub method: Method,
+    pub(crate) method: Method,
     /// Path and query.
-    pub uri: Uri,
+    pub(crate) uri: Uri,
     /// Headers as the caller sent them, without those of its connection.
-    pub headers: HeaderMap,
+    pub(crate) headers: HeaderMap,
     /// Body.
-    pub body: Bytes,
+    pub(crate) body: Bytes,
     /// When it was read.
-    pub arrived: Time,
+    pub(crate) arrived: Time,
     /// When the caller or the route gives it up.
-    pub deadline: Time,
+    pub(crate) deadline: Time,
     /// Targets that it was sent to, and that may have run it.
-    pub tried: Vec<Key>,
+    pub(crate) tried: Vec<Key>,
     /// Targets that are not asked again.
-    pub avoid: Vec<Key>,
+    pub(crate) avoid: Vec<Key>,
     /// Times that it was sent.
-    pub sends: u32,
+    pub(crate) sends: u32,
     /// Version of the configuration, and its age when the request was taken.
-    pub knowledge: (u64, Duration),
+    pub(crate) knowledge: (u64, Duration),
 }
 
 /// A target that a request was given to, counted there until the end.
-pub struct Place<P> {
+pub(crate) struct Place<P> {
     shared: Arc<Shared<P>>,
     /// The target.
-    pub key: Key,
+    pub(crate) key: Key,
     /// The target as it was listed.
-    pub target: Target,
+    pub(crate) target: Target,
     prompt: u64,
     ended: bool,
 }
 
 /// When the pieces of an answer came.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Times {
+pub(crate) struct Times {
     /// From the request to the first piece. Until now if there was none.
-    pub first: Option<Duration>,
+    pub(crate) first: Option<Duration>,
     /// The longest pause between two pieces.
-    pub pause: Duration,
+    pub(crate) pause: Duration,
 }
 
 /// Why a request got no target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Denial {
+pub(crate) enum Denial {
     /// All targets are busy.
     Busy(Duration),
     /// There is no target.
@@ -112,28 +112,28 @@
 
 /// A refusal by this entry.
 #[derive(Clone, Copy, Debug)]
-pub struct Refusal {
+pub(crate) struct Refusal {
     /// Status of the answer.
-    pub status: StatusCode,
+    pub(crate) status: StatusCode,
     /// Why, for the log.
-    pub reason: &'static str,
+    pub(crate) reason: &'static str,
     /// When to come back.
-    pub after: Option<Duration>,
+    pub(crate) after: Option<Duration>,
 }
 
 impl Refusal {
     /// A refusal that tells no time to come back.
-    pub const fn new(status: StatusCode, reason: &'static str) -> Refusal {
+    pub(crate) const fn new(status: StatusCode, reason: &'static str) -> Refusal {
         Refusal { status, reason, after: None }
     }
 
     /// A refusal of a request that has not run and may come back.
-    pub const fn later(reason: &'static str, after: Duration) -> Refusal {
+    pub(crate) const fn later(reason: &'static str, after: Duration) -> Refusal {
         Refusal { status: StatusCode::SERVICE_UNAVAILABLE, reason, after: Some(after) }
     }
 
     /// The answer to the caller.
-    pub fn answer(&self) -> Response<Answer> {
+    pub(crate) fn answer(&self) -> Response<Answer> {
         let mut response = Response::new(Answer::whole(Bytes::new()));
         *response.status_mut() = self.status;
         if let Some(after) = self.after {
@@ -147,15 +147,15 @@
 }
 
 /// Where a request goes, as far as the head tells.
-pub struct Way {
+pub(crate) struct Way {
     /// Its route.
-    pub route: Arc<Route>,
+    pub(crate) route: Arc<Route>,
     /// Its service.
-    pub service: Arc<Service>,
+    pub(crate) service: Arc<Service>,
     /// The workspace on whose behalf it is made.
-    pub workspace: Option<Arc<str>>,
+    pub(crate) workspace: Option<Arc<str>>,
     /// Version of the configuration, and its age.
-    pub knowledge: (u64, Duration),
+    pub(crate) knowledge: (u64, Duration),
 }
 
 /// Finds a request's way, or why it has none.
@@ -163,7 +163,11 @@
 /// # Errors
 ///
 /// Refuses what no route or key allows, and what can't be decided by what is known now.
-pub fn way<P: Platform>(shared: &Shared<P>, head: &Head, path: &str) -> Result<Way, Refusal> {
+pub(crate) fn way<P: Platform>(
+    shared: &Shared<P>,
+    head: &Head,
+    path: &str,
+) -> Result<Way, Refusal> {
     let (table, known) = {
         let knowledge = shared.knowledge();
         (knowledge.table.clone(), knowledge.config_at)
@@ -173,7 +177,7 @@
         return Err(Refusal::later("no configuration yet", soon));
     };
     let age = shared.now().since(known);
-    let bounds = &shared.settings.bounds;
+    let bounds = &shared.settings().bounds;
     let Some(route) = table.route(&head.host, path) else {
         return Err(match age < bounds.config_age() {
             true => Refusal::new(StatusCode::NOT_FOUND, "no such route"),
@@ -200,7 +204,7 @@
 
 impl<P: Platform> Job<P> {
     /// Whether the request may be sent to one more target.
-    pub fn may_repeat(&self) -> bool {
+    pub(crate) fn may_repeat(&self) -> bool {
         let attempts = self.route.attempts.max(1);
         (self.tried.len() as u32) < attempts && self.sends < attempts + SENDS_MARGIN
     }
@@ -210,7 +214,7 @@
     /// # Errors
     ///
     /// Says why there is none.
-    pub async fn place(&mut self, urgent: bool) -> Result<Place<P>, Denial> {
+    pub(crate) async fn place(&mut self, urgent: bool) -> Result<Place<P>, Denial> {
         let arrived = self.shared.now();
         let patience = self.route.objective / QUEUE_PART;
         let until = self.shared.clock.instant((arrived + patience).min(self.deadline));
@@ -262,7 +266,7 @@
     }
 
     /// The request as it goes to `place`.
-    pub fn outgoing(&self, place: &Place<P>, last_event: Option<Arc<str>>) -> Outgoing {
+    pub(crate) fn outgoing(&self, place: &Place<P>, last_event: Option<Arc<str>>) -> Outgoing {
         let left = self.deadline.since(self.shared.now());
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
@@ -281,7 +285,7 @@
     }
 
     /// Notes that the request is sent to `place`.
-    pub fn sent(&mut self, place: &Place<P>) {
+    pub(crate) fn sent(&mut self, place: &Place<P>) {
         self.sends += 1;
         self.shared.journal.note(&Event::Sent {
             request: &self.head.id,
@@ -295,7 +299,7 @@
     }
 
     /// Notes that an attempt failed.
-    pub fn failed(&self, place: &Place<P>, reason: &str, ran: &str) {
+    pub(crate) fn failed(&self, place: &Place<P>, reason: &str, ran: &str) {
         self.shared.journal.note(&Event::Failed {
             request: &self.head.id,
             target: &place.target.id,
@@ -306,7 +310,7 @@
     }
 
     /// Notes the final answer.
-    pub fn ended(&self, target: &str, status: StatusCode, outcome: &str, times: Times) {
+    pub(crate) fn ended(&self, target: &str, status: StatusCode, outcome: &str, times: Times) {
         let first = times.first.unwrap_or_else(|| self.shared.now().since(self.arrived));
         let labels = format!("route=\"{}\",outcome=\"{outcome}\"", self.route.name);
         self.shared.metrics.count("rhubarblatch_requests_total", &labels);
@@ -325,7 +329,7 @@
     }
 
     /// The answer to a request that got no target. It has not run.
-    pub fn deny(&self, denial: Denial) -> Response<Answer> {
+    pub(crate) fn deny(&self, denial: Denial) -> Response<Answer> {
         let left = self.deadline.since(self.shared.now());
         let (reason, after) = match denial {
             Denial::Busy(after) => ("all targets are busy", after),
@@ -341,7 +345,7 @@
     }
 
     /// Notes a refusal and turns it into an answer.
-    pub fn refuse(&self, refusal: &Refusal) -> Response<Answer> {
+    pub(crate) fn refuse(&self, refusal: &Refusal) -> Response<Answer> {
         let labels = format!("route=\"{}\",outcome=\"refused\"", self.route.name);
         self.shared.metrics.count("rhubarblatch_requests_total", &labels);
         self.shared.journal.note(&Event::Refused {
@@ -357,26 +361,26 @@
     }
 
     /// Milliseconds since the request was read.
-    pub fn waited_ms(&self) -> u64 {
+    pub(crate) fn waited_ms(&self) -> u64 {
         millis(self.shared.now().since(self.arrived))
     }
 }
 
 impl<P> Place<P> {
     /// Notes the first token.
-    pub fn first(&mut self) {
+    pub(crate) fn first(&mut self) {
         let prompt = std::mem::take(&mut self.prompt);
         self.shared.balance().first(self.key, prompt);
     }
 
     /// Notes a sign of life.
-    pub fn hear(&self) {
+    pub(crate) fn hear(&self) {
         let now = self.shared.now();
         self.shared.balance().hear(now, self.key);
     }
 
     /// Notes how it ended.
-    pub fn end(mut self, end: End) {
+    pub(crate) fn end(mut self, end: End) {
         self.finish(end);
     }
 
@@ -398,7 +402,7 @@
 }
 
 /// Removes the headers that concern one connection only.
-pub fn strip(headers: &mut HeaderMap) {
+pub(crate) fn strip(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .into_iter()
@@ -411,12 +415,12 @@
 }
 
 /// The path and query of a request, as a target gets it.
-pub fn target_uri(parts: &request::Parts) -> Uri {
+pub(crate) fn target_uri(parts: &request::Parts) -> Uri {
     let path = parts.uri.path_and_query().cloned();
     path.map(Uri::from).unwrap_or_else(|| Uri::from_static("/"))
 }
 
 /// A duration in whole milliseconds.
-pub fn millis(time: Duration) -> u64 {
+pub(crate) fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -138,20 +138,20 @@
         Duration::from_millis(self.config_ms.max(self.revoke_ms))
     }
 
-    /// Time for which a watch of the configuration waits. A peer that reads it here a moment
-    /// before the next answer still has it within the age up to which it is ready.
+    /// Time for which a watch of the configuration waits. With the age that a peer's knowledge may
+    /// have, and the time of a question to it, a change comes within its bound whatever fails.
     pub fn config_wait(&self) -> Duration {
-        Duration::from_millis(self.revoke_ms) * 3 / 10
+        Duration::from_millis(self.config_ms) * 2 / 5
     }
 
-    /// Time for which a question to a peer about the configuration waits.
+    /// Time for which a question to a peer waits.
     pub fn relay_wait(&self) -> Duration {
-        Duration::from_millis(self.revoke_ms) / 5
+        Duration::from_millis(self.config_ms) / 4
     }
 
     /// Age of a peer's knowledge from which on the store is asked instead.
     pub fn relay_age(&self) -> Duration {
-        Duration::from_millis(self.revoke_ms) / 2
+        Duration::from_millis(self.config_ms) / 2
     }
 
     /// Age of the configuration up to which an entry is ready.
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use arc_swap::ArcSwap;
 use decision::gateway::balance::{self, Balance, Target};
 use decision::gateway::budget::{self, Budget};
 use decision::gateway::fleet::Fleet;
@@ -24,37 +25,36 @@
 const STORE_KEEPALIVE: Duration = Duration::from_secs(1);
 
 /// What the parts of one entry share.
-pub struct Shared<P> {
+pub(crate) struct Shared<P> {
     /// The platform's way of speaking.
-    pub platform: P,
-    /// The settings.
-    pub settings: Settings,
+    pub(crate) platform: P,
     /// The time.
-    pub clock: Clock,
+    pub(crate) clock: Clock,
     /// Where decisions are written.
-    pub journal: Journal,
+    pub(crate) journal: Journal,
     /// Counters.
-    pub metrics: Metrics,
+    pub(crate) metrics: Metrics,
     /// Connections to targets.
-    pub targets: Pool,
+    pub(crate) targets: Pool,
     /// Connections to the store.
-    pub store: Pool,
+    pub(crate) store: Pool,
     /// A slot may be free.
-    pub freed: Notify,
+    pub(crate) freed: Notify,
     /// The list of instances, or what is known of them, has changed.
-    pub changed: Notify,
+    pub(crate) changed: Notify,
     /// Callers' connections that are open.
-    pub open: AtomicUsize,
+    pub(crate) open: AtomicUsize,
     /// Whether a caller's request has been seen, here or at a peer.
-    pub seen: AtomicBool,
+    pub(crate) seen: AtomicBool,
     /// Whether the store answered the last question about the configuration.
-    pub store_up: AtomicBool,
+    pub(crate) store_up: AtomicBool,
     /// What peers told.
-    pub peers: Peers,
+    pub(crate) peers: Peers,
     /// Whether the process is stopping.
-    pub stopping: AtomicBool,
+    pub(crate) stopping: AtomicBool,
     /// What peers can read here has changed.
-    pub mirrored: Notify,
+    pub(crate) mirrored: Notify,
+    settings: ArcSwap<Settings>,
     mirror: Mutex<Mirror>,
     knowledge: Mutex<Knowledge>,
     balance: Mutex<Balance>,
@@ -63,22 +63,27 @@
 
 /// What this entry knows, and since when.
 #[derive(Debug, Default)]
-pub struct Knowledge {
+pub(crate) struct Knowledge {
     /// The configuration in force.
-    pub table: Arc<Table>,
+    pub(crate) table: Arc<Table>,
     /// When the last question was sent whose answer confirmed the configuration.
-    pub config_at: Option<Time>,
+    pub(crate) config_at: Option<Time>,
     /// The instances.
-    pub fleet: Fleet,
+    pub(crate) fleet: Fleet,
     /// When the last question was sent whose answer confirmed the list of instances.
-    pub fleet_at: Option<Time>,
+    pub(crate) fleet_at: Option<Time>,
     /// Entries by name.
-    pub entries: HashMap<Arc<str>, Entry>,
+    pub(crate) entries: HashMap<Arc<str>, Entry>,
 }
 
 impl<P> Shared<P> {
     /// Nothing known yet.
-    pub fn new(platform: P, settings: Settings, clock: Clock, journal: Journal) -> Shared<P> {
+    pub(crate) fn new(
+        platform: P,
+        settings: Settings,
+        clock: Clock,
+        journal: Journal,
+    ) -> Shared<P> {
         let balance = balance::Settings {
             failure_domain: settings.failure_domain.as_str().into(),
             own: balance::hash(&settings.instance),
@@ -93,7 +98,7 @@
         };
         Shared {
             platform,
-            settings,
+            settings: ArcSwap::from_pointee(settings),
             clock,
             journal,
             metrics: Metrics::default(),
@@ -114,46 +119,57 @@
         }
     }
 
+    /// The settings in force.
+    pub(crate) fn settings(&self) -> Arc<Settings> {
+        self.settings.load_full()
+    }
+
+    /// Puts other settings in force. Where this entry listens doesn't change before a restart.
+    pub(crate) fn reload(&self, settings: Settings) {
+        self.settings.store(Arc::new(settings));
+        self.refresh();
+    }
+
     /// The time now.
-    pub fn now(&self) -> Time {
+    pub(crate) fn now(&self) -> Time {
         self.clock.now()
     }
 
     /// What is known. Not held across a wait.
-    pub fn knowledge(&self) -> MutexGuard<'_, Knowledge> {
+    pub(crate) fn knowledge(&self) -> MutexGuard<'_, Knowledge> {
         self.knowledge.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// What peers can read here. Not held across a wait.
-    pub fn mirror(&self) -> MutexGuard<'_, Mirror> {
+    pub(crate) fn mirror(&self) -> MutexGuard<'_, Mirror> {
         self.mirror.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// The targets and their load. Not held across a wait.
-    pub fn balance(&self) -> MutexGuard<'_, Balance> {
+    pub(crate) fn balance(&self) -> MutexGuard<'_, Balance> {
         self.balance.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Whether the store answered last.
-    pub fn is_store_up(&self) -> bool {
+    pub(crate) fn is_store_up(&self) -> bool {
         self.store_up.load(Ordering::Relaxed)
     }
 
     /// Counts a caller's request to `service`.
-    pub fn count_request(&self, service: &Arc<str>) {
+    pub(crate) fn count_request(&self, service: &Arc<str>) {
         let now = self.now();
         self.budget(service, |it| it.request(now));
     }
 
     /// Takes one repeat to `service` out of this entry's part of the budget.
-    pub fn spend(&self, service: &Arc<str>) -> bool {
+    pub(crate) fn spend(&self, service: &Arc<str>) -> bool {
         let now = self.now();
         let entries = self.knowledge().entries.len();
         self.budget(service, |it| it.spend(now, entries))
     }
 
     fn budget<T>(&self, service: &Arc<str>, with: impl FnOnce(&mut Budget) -> T) -> T {
-        let bounds = &self.settings.bounds;
+        let bounds = &self.settings().bounds;
         let settings = budget::Settings {
             ratio: bounds.retry_ratio,
             window: Duration::from_secs_f64(bounds.retry_window_s),
@@ -164,13 +180,13 @@
     }
 
     /// Whether this entry should get new connections.
-    pub fn is_ready(&self) -> bool {
+    pub(crate) fn is_ready(&self) -> bool {
         if self.stopping.load(Ordering::Relaxed) {
             return false;
         }
         let knowledge = self.knowledge();
         let age = knowledge.config_at.map(|it| self.now().since(it));
-        let fresh = age.is_some_and(|it| it < self.settings.bounds.ready_age());
+        let fresh = age.is_some_and(|it| it < self.settings().bounds.ready_age());
         let services: Vec<_> = knowledge.table.services().map(|it| it.name.clone()).collect();
         drop(knowledge);
         let balance = self.balance();
@@ -178,13 +194,13 @@
     }
 
     /// Brings the targets up to date with the configuration and the list of instances.
-    pub fn refresh(&self) {
+    pub(crate) fn refresh(&self) {
         let now = self.now();
         let mut knowledge = self.knowledge();
         knowledge.fleet.expire(now);
         let mut balance = self.balance();
         balance.entries(knowledge.entries.keys().map(|it| &**it));
-        let bounds = &self.settings.bounds;
+        let bounds = &self.settings().bounds;
         let mut names = Vec::new();
         for service in knowledge.table.services() {
             names.push(service.name.clone());
@@ -200,7 +216,7 @@
     }
 
     /// Tells how many targets each service and model has, if that has changed.
-    pub fn report(&self, told: &mut Counts) {
+    pub(crate) fn report(&self, told: &mut Counts) {
         let counts = self.count();
         for ((service, model), (serving, instances)) in &counts {
             if told.get(&(service.clone(), model.clone())) != Some(&(*serving, *instances)) {
@@ -237,7 +253,7 @@
 }
 
 /// Targets that serve, and instances, by service and model.
-pub type Counts = BTreeMap<(Arc<str>, Arc<str>), (usize, usize)>;
+pub(crate) type Counts = BTreeMap<(Arc<str>, Arc<str>), (usize, usize)>;
 
 /// The targets of `service`, each with the time for which it is still cold.
 fn targets(
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -71,7 +71,7 @@
 }
 
 /// Sends a request until its stream is open, and answers the caller.
-pub async fn run<P: Platform>(mut job: Job<P>) -> Response<Answer> {
+pub(crate) async fn run<P: Platform>(mut job: Job<P>) -> Response<Answer> {
     let mut ran = false;
     let open = match open(&mut job, None, &mut ran).await {
         Ok(open) => open,
