Ask anew what was asked before an outage; let a new owner list the instances first

All watches are asked again once the one of the configuration has failed, none waits for longer than 6 s, and an owner lists the instances before its first order. Not shown by a test of its own: the list of a new owner.

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -27,7 +27,7 @@
 const PATIENCE: Duration = Duration::from_millis(1_500);
 
 /// Time for which a watch waits whose answer need not be confirmed often.
-const LONG_WAIT: Duration = Duration::from_secs(20);
+const LONG_WAIT: Duration = Duration::from_secs(6);
 
 /// Pause between two answers of a watch of instances, so that changes are gathered.
 const INSTANCES_PACE: Duration = Duration::from_millis(150);
@@ -67,6 +67,8 @@
     Status(StatusCode),
     #[error(transparent)]
     Malformed(#[from] Malformed),
+    #[error("the store does not answer about the configuration")]
+    Down,
 }
 
 /// Follows all kinds of objects.
@@ -126,7 +128,7 @@
         let known = self.shared.mirror().revision(self.kind);
         let mut revision = match known {
             Some(revision) => revision,
-            None => match self.list().await {
+            None => match list(&self.shared, self.kind).await {
                 Ok(revision) => revision,
                 Err(error) => return self.fail(role, &error).await,
             },
@@ -136,7 +138,15 @@
         }
         loop {
             let asked = self.shared.now();
-            match self.changes(revision).await {
+            let changes = match role {
+                Role::Scout(_) => self.changes(revision).await,
+                Role::Rest(reachable) => tokio::select! {
+                    changes = self.changes(revision) => changes,
+                    // A question that was asked before an outage may never be answered.
+                    down = down(reachable) => Err(down),
+                },
+            };
+            match changes {
                 Ok(changes) => {
                     self.succeed(role);
                     revision = changes.revision;
@@ -157,56 +167,14 @@
         }
     }
 
-    async fn list(&mut self) -> Result<u64, Error> {
-        let asked = self.shared.now();
-        let mut items = Vec::new();
-        let mut first = None;
-        let mut after: Option<Arc<str>> = None;
-        loop {
-            let store = self.shared.settings().store;
-            let request = self.shared.platform.list(store, self.kind, after.as_deref());
-            let body = self.call(request, PATIENCE).await?;
-            let page = self.shared.platform.page(self.kind, &body)?;
-            first.get_or_insert(page.revision);
-            after = page.items.last().map(|it| it.name.clone());
-            items.extend(page.items);
-            if !page.more || after.is_none() {
-                break;
-            }
-        }
-        let revision = first.unwrap_or_default();
-        apply::list(&self.shared, self.kind, revision, asked, items);
-        Ok(revision)
-    }
-
     async fn changes(&self, revision: u64) -> Result<Changes, Error> {
         let wait = self.wait();
         let store = self.shared.settings().store;
         let request = self.shared.platform.watch(store, self.kind, revision, wait);
-        let body = self.call(request, wait + PATIENCE).await?;
+        let body = call(&self.shared, request, wait + PATIENCE).await?;
         Ok(self.shared.platform.changes(self.kind, &body)?)
     }
 
-    async fn call(
-        &self,
-        request: crate::port::Outgoing,
-        time: Duration,
-    ) -> Result<bytes::Bytes, Error> {
-        let address = self.shared.settings().store;
-        let response = self.shared.store.call(address, request, time, MAX_ANSWER).await;
-        let result = match &response {
-            Ok(response) => response.status().as_u16(),
-            Err(_) => 0,
-        };
-        let labels = format!("status=\"{result}\"");
-        self.shared.metrics.count("rhubarblatch_store_calls_total", &labels);
-        let response = response?;
-        match response.status().is_success() {
-            true => Ok(response.into_body()),
-            false => Err(Error::Status(response.status())),
-        }
-    }
-
     fn wait(&self) -> Duration {
         match self.kind {
             Kind::Config => self.shared.settings().bounds.config_wait(),
@@ -262,3 +230,66 @@
         }
     }
 }
+
+/// Waits until the store does not answer.
+async fn down(reachable: &mut watch::Receiver<bool>) -> Error {
+    // The scout lives as long as the follower that waits.
+    drop(reachable.wait_for(|it| !*it).await);
+    Error::Down
+}
+
+/// Lists all objects of a kind and takes them. Returns the revision to watch from.
+async fn list<P: Platform>(shared: &Shared<P>, kind: Kind) -> Result<u64, Error> {
+    let asked = shared.now();
+    let mut items = Vec::new();
+    let mut first = None;
+    let mut after: Option<Arc<str>> = None;
+    loop {
+        let store = shared.settings().store;
+        let request = shared.platform.list(store, kind, after.as_deref());
+        let body = call(shared, request, PATIENCE).await?;
+        let page = shared.platform.page(kind, &body)?;
+        first.get_or_insert(page.revision);
+        after = page.items.last().map(|it| it.name.clone());
+        items.extend(page.items);
+        if !page.more || after.is_none() {
+            break;
+        }
+    }
+    let revision = first.unwrap_or_default();
+    apply::list(shared, kind, revision, asked, items);
+    Ok(revision)
+}
+
+/// Lists the instances anew. Returns whether that was possible.
+pub(crate) async fn renew<P: Platform>(shared: &Shared<P>) -> bool {
+    match list(shared, Kind::Instances).await {
+        Ok(_) => true,
+        Err(error) => {
+            let reason = error.to_string();
+            let event = Event::Lost { dependency: "store", kind: Kind::Instances, reason: &reason };
+            shared.journal.note(&event);
+            false
+        }
+    }
+}
+
+async fn call<P: Platform>(
+    shared: &Shared<P>,
+    request: crate::port::Outgoing,
+    time: Duration,
+) -> Result<bytes::Bytes, Error> {
+    let address = shared.settings().store;
+    let response = shared.store.call(address, request, time, MAX_ANSWER).await;
+    let result = match &response {
+        Ok(response) => response.status().as_u16(),
+        Err(_) => 0,
+    };
+    let labels = format!("status=\"{result}\"");
+    shared.metrics.count("rhubarblatch_store_calls_total", &labels);
+    let response = response?;
+    match response.status().is_success() {
+        true => Ok(response.into_body()),
+        false => Err(Error::Status(response.status())),
+    }
+}
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -16,6 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::error::Call;
+use crate::follow;
 use crate::journal::Event;
 use crate::port::{Kind, Lease, Object, Platform, Taken, When, Write};
 use crate::state::Shared;
@@ -175,7 +176,8 @@
         let (when, fence) = match &held {
             Some(item) => match &item.object {
                 Object::Lease(lease) if lease.life == self.life => {
-                    return self.won(lease.fence);
+                    let fence = lease.fence;
+                    return self.won(fence).await;
                 }
                 Object::Lease(lease) => (When::Revision(item.revision), lease.fence + 1),
                 _ => (When::Revision(item.revision), item.revision),
@@ -191,11 +193,15 @@
         if let Ok(answer) = self.shared.store.call(store, put, STORE, MAX_ANSWER).await
             && answer.status().is_success()
         {
-            self.won(fence);
+            self.won(fence).await;
         }
     }
 
-    fn won(&mut self, fence: u64) {
+    /// Begins to own, once the list shows what the last owner did.
+    async fn won(&mut self, fence: u64) {
+        if !follow::renew(&self.shared).await {
+            return;
+        }
         self.fence = Some(fence);
         self.formations.clear();
         self.probes.clear();
