--- a/decision/tests/freshness.rs
+++ b/decision/tests/freshness.rs
@@ -4,6 +4,8 @@
 
 mod fleet;
 
+use decision::clock::Time;
+use decision::freshness::{Permit, Stale};
 use decision::head::Generation;
 use fleet::{Fleet, Mutant};
 use proptest::collection::vec;
@@ -179,3 +181,14 @@
         file.run(|case| fleet::scenario::run(&mut fleet, case));
     });
 }
+
+/// The last step before bytes leave: nothing is sent by what was known too long ago.
+#[test]
+fn a_permit_ends_at_its_deadline() {
+    let deadline = Time::from_millis(3_000);
+    let permit = Permit { generation: Generation::default(), deadline };
+    assert_eq!(permit.check(Time::from_millis(2_999)), Ok(()));
+    let stale = Err(Stale { held: Generation::default() });
+    assert_eq!(permit.check(deadline), stale);
+    assert_eq!(permit.check(Time::from_millis(90_000)), stale);
+}
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -13,14 +13,21 @@
 use decision::prelude::*;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::port::Platform;
 use crate::state::Shared;
 
-/// Pause between two rounds.
+/// Longest pause between two rounds.
 const ROUND: Duration = Duration::from_millis(100);
 
+/// Shortest pause between two rounds, if what is in progress changes. Entries that place requests
+/// by older loads place them on the same targets.
+const ROUND_LEAST: Duration = Duration::from_millis(25);
+
+/// The same with many peers, which costs each of them as many datagrams.
+const ROUND_MANY: Duration = Duration::from_millis(50);
+
 /// Peers up to which all are told everything in each round.
 const FEW: usize = 12;
 
@@ -171,7 +178,10 @@
 async fn tell<P: Platform>(shared: Arc<Shared<P>>, socket: Arc<UdpSocket>, life: u64) {
     let mut round = 0;
     loop {
-        sleep(ROUND).await;
+        let entries = shared.knowledge().entries.len();
+        sleep(if entries > FEW { ROUND_MANY } else { ROUND_LEAST }).await;
+        // Without a change, the round comes at its time.
+        let _elapsed = timeout(ROUND - ROUND_LEAST, shared.loaded.notified()).await;
         for (word, peers) in words(&shared, life, round) {
             let Ok(bytes) = rmp_serde::to_vec(&word) else { continue };
             for peer in peers {
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -256,6 +256,7 @@
             Choice::Send(key) => {
                 let target = balance.target(key).cloned();
                 drop(balance);
+                self.shared.loaded.notify_one();
                 let target = target.ok_or(Denial::Nothing)?;
                 let shared = self.shared.clone();
                 Ok(Place { shared, key, target, prompt: ask.prompt, ended: false })
@@ -370,7 +371,10 @@
     /// Notes the first token.
     pub(crate) fn first(&mut self) {
         let prompt = std::mem::take(&mut self.prompt);
-        self.shared.balance().first(self.key, prompt);
+        if prompt > 0 {
+            self.shared.balance().first(self.key, prompt);
+            self.shared.loaded.notify_one();
+        }
     }
 
     /// Notes a sign of life.
@@ -391,6 +395,7 @@
         let now = self.shared.now();
         self.shared.balance().end(now, self.key, self.prompt, end);
         self.shared.freed.notify_one();
+        self.shared.loaded.notify_one();
     }
 }
 
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -40,6 +40,8 @@
     pub(crate) store: Pool,
     /// A slot may be free.
     pub(crate) freed: Notify,
+    /// What is in progress has changed.
+    pub(crate) loaded: Notify,
     /// The list of instances, or what is known of them, has changed.
     pub(crate) changed: Notify,
     /// Callers' connections that are open.
@@ -105,6 +107,7 @@
             targets: Pool::new(pool::Settings::default()),
             store: Pool::new(store),
             freed: Notify::new(),
+            loaded: Notify::new(),
             changed: Notify::new(),
             open: AtomicUsize::new(0),
             seen: AtomicBool::new(false),
