--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -175,10 +175,7 @@
         let held = page.items.into_iter().find(|it| &*it.name == LEASE);
         let (when, fence) = match &held {
             Some(item) => match &item.object {
-                Object::Lease(lease) if lease.life == self.life => {
-                    let fence = lease.fence;
-                    return self.won(fence).await;
-                }
+                // Also if this entry held it before: each term has epochs of its own.
                 Object::Lease(lease) => (When::Revision(item.revision), lease.fence + 1),
                 _ => (When::Revision(item.revision), item.revision),
             },
