--- a/decision/src/gateway/balance.rs
+++ b/decision/src/gateway/balance.rs
@@ -4,6 +4,8 @@
 //! target whose streams are all silent is suspect: new work keeps off, and one trial after a
 //! pause shows whether it answers again.
 
+mod track;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,8 +17,9 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::gateway::engine::Engine;
-use crate::gateway::warmup::{self, Limiter};
+use crate::gateway::warmup;
 use crate::prelude::*;
+use track::{MEAN_PASSES, Suspect, Track};
 
 new_key_type! {
     /// A target that a [`Balance`] knows.
@@ -26,12 +29,6 @@
 /// Part of the old value that a failure score keeps at each outcome.
 const SCORE_KEEP: f64 = 0.8;
 
-/// Cost of a target that fails every request, as a multiple of one that fails none.
-const FAILURE_FACTOR: f64 = 20.0;
-
-/// Time after which a peer's word about its load is void, since the peer may be gone.
-const PEER_AGE: Duration = Duration::from_secs(2);
-
 /// How targets are chosen.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -147,30 +144,6 @@
     keys: Vec<Key>,
 }
 
-#[derive(Debug)]
-struct Track {
-    target: Target,
-    service: Arc<str>,
-    listed: bool,
-    cold_until: Time,
-    own: Load,
-    peers: HashMap<u64, (Time, Load)>,
-    limiter: Limiter,
-    failures: f64,
-    heard: Time,
-    /// When a peer heard of it last.
-    peer_heard: Time,
-    /// Whether an event has come since it last had nothing to do.
-    writing: bool,
-    suspect: Option<Suspect>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Suspect {
-    trial_at: Time,
-    pause: Duration,
-}
-
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
@@ -459,95 +432,6 @@
     }
 }
 
-/// What is expected of a target for one request.
-struct Estimate {
-    /// Milliseconds to the first token.
-    first_ms: f64,
-    /// The same, made worse by distance and failures.
-    cost: f64,
-    /// Requests beyond the slots, this one included.
-    excess: u32,
-    /// Whether all slots are taken.
-    full: bool,
-    /// Milliseconds until a slot is free.
-    slot_ms: f64,
-    /// Whether reading its prompt would halt the streams of others for too long.
-    halting: bool,
-}
-
-impl Track {
-    fn new(now: Time, service: Arc<str>, target: Target, cold_until: Time) -> Track {
-        Track {
-            target,
-            service,
-            listed: true,
-            cold_until,
-            own: Load::default(),
-            peers: HashMap::new(),
-            limiter: Limiter::default(),
-            failures: 0.0,
-            heard: now,
-            peer_heard: Time::ZERO,
-            writing: false,
-            suspect: None,
-        }
-    }
-
-    fn serves(&self, ask: &Ask) -> bool {
-        ask.model.is_none() || ask.model == self.target.model
-    }
-
-    fn may_try(&self, now: Time) -> bool {
-        self.suspect.is_none_or(|it| it.trial_at <= now)
-    }
-
-    fn hash(&self) -> u64 {
-        hash(&self.target.id)
-    }
-
-    /// What all entries have in progress.
-    fn load(&self, now: Time) -> Load {
-        let mut sum = self.own;
-        let peers = self.peers.values().filter(|(at, _)| now.since(*at) < PEER_AGE);
-        for (_, load) in peers {
-            sum.running += load.running;
-            sum.prefill = sum.prefill.saturating_add(load.prefill);
-        }
-        sum
-    }
-
-    fn estimate(&self, now: Time, engine: &Engine, settings: &Settings, ask: &Ask) -> Estimate {
-        let load = self.load(now);
-        let running = load.running + 1;
-        let slots = self.target.slots.max(1);
-        let pass = engine.pass_ms(self.target.pace, running);
-        let prefill = engine.prefill_ms(self.target.pace, u64::from(load.prefill) + ask.prompt);
-        let excess = running.saturating_sub(slots);
-        let turn = pass * MEAN_PASSES / f64::from(slots);
-        let slot_ms = turn * f64::from(excess);
-        let first_ms = pass * 1.5 + prefill + slot_ms;
-        let far = match self.target.failure_domain == settings.failure_domain {
-            true => 0.0,
-            false => settings.far_ms,
-        };
-        let plain = f64::from(load.running) / f64::from(slots) * PLAIN_MS;
-        let cost = (first_ms + plain + far) * (1.0 + FAILURE_FACTOR * self.failures.powi(2));
-        let halt = (pass + prefill) / HALT_PART;
-        let pause = ask.pause.map_or(f64::INFINITY, |it| it.as_secs_f64() * 1_000.0);
-        let halting = load.prefill > 0 && halt > pause;
-        Estimate { first_ms, cost, excess, full: excess > 0, slot_ms: slot_ms.max(pass), halting }
-    }
-}
-
-/// Part of the prompts that wait at a target that is read between two events of its streams.
-const HALT_PART: f64 = 2.5;
-
-/// Passes that a request of usual length takes.
-const MEAN_PASSES: f64 = 25.0;
-
-/// Milliseconds that a full plain target adds to a request.
-const PLAIN_MS: f64 = 30.0;
-
 /// The hash by which peers name a target.
 pub fn hash(id: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(id.as_bytes())
--- /dev/null
+++ b/decision/src/gateway/balance/track.rs
@@ -0,0 +1,134 @@
+//! What this entry knows of one target, and what it expects of it for a request.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::{Ask, Load, Settings, Target, hash};
+use crate::gateway::engine::Engine;
+use crate::gateway::warmup::Limiter;
+use crate::prelude::*;
+
+/// Part of the prompts that wait at a target that is read between two events of its streams.
+const HALT_PART: f64 = 2.5;
+
+/// Passes that a request of usual length takes.
+pub(super) const MEAN_PASSES: f64 = 25.0;
+
+/// Milliseconds that a full plain target adds to a request.
+const PLAIN_MS: f64 = 30.0;
+
+/// Cost of a target that fails every request, as a multiple of one that fails none.
+const FAILURE_FACTOR: f64 = 20.0;
+
+/// Time after which a peer's word about its load is void, since the peer may be gone.
+const PEER_AGE: Duration = Duration::from_secs(2);
+
+#[derive(Debug)]
+pub(super) struct Track {
+    pub(super) target: Target,
+    pub(super) service: Arc<str>,
+    pub(super) listed: bool,
+    pub(super) cold_until: Time,
+    pub(super) own: Load,
+    pub(super) peers: HashMap<u64, (Time, Load)>,
+    pub(super) limiter: Limiter,
+    pub(super) failures: f64,
+    pub(super) heard: Time,
+    /// When a peer heard of it last.
+    pub(super) peer_heard: Time,
+    /// Whether an event has come since it last had nothing to do.
+    pub(super) writing: bool,
+    pub(super) suspect: Option<Suspect>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Suspect {
+    pub(super) trial_at: Time,
+    pub(super) pause: Duration,
+}
+
+/// What is expected of a target for one request.
+pub(super) struct Estimate {
+    /// Milliseconds to the first token.
+    pub(super) first_ms: f64,
+    /// The same, made worse by distance and failures.
+    pub(super) cost: f64,
+    /// Requests beyond the slots, this one included.
+    pub(super) excess: u32,
+    /// Whether all slots are taken.
+    pub(super) full: bool,
+    /// Milliseconds until a slot is free.
+    pub(super) slot_ms: f64,
+    /// Whether reading its prompt would halt the streams of others for too long.
+    pub(super) halting: bool,
+}
+
+impl Track {
+    pub(super) fn new(now: Time, service: Arc<str>, target: Target, cold_until: Time) -> Track {
+        Track {
+            target,
+            service,
+            listed: true,
+            cold_until,
+            own: Load::default(),
+            peers: HashMap::new(),
+            limiter: Limiter::default(),
+            failures: 0.0,
+            heard: now,
+            peer_heard: Time::ZERO,
+            writing: false,
+            suspect: None,
+        }
+    }
+
+    pub(super) fn serves(&self, ask: &Ask) -> bool {
+        ask.model.is_none() || ask.model == self.target.model
+    }
+
+    pub(super) fn may_try(&self, now: Time) -> bool {
+        self.suspect.is_none_or(|it| it.trial_at <= now)
+    }
+
+    pub(super) fn hash(&self) -> u64 {
+        hash(&self.target.id)
+    }
+
+    /// What all entries have in progress.
+    pub(super) fn load(&self, now: Time) -> Load {
+        let mut sum = self.own;
+        let peers = self.peers.values().filter(|(at, _)| now.since(*at) < PEER_AGE);
+        for (_, load) in peers {
+            sum.running += load.running;
+            sum.prefill = sum.prefill.saturating_add(load.prefill);
+        }
+        sum
+    }
+
+    pub(super) fn estimate(
+        &self,
+        now: Time,
+        engine: &Engine,
+        settings: &Settings,
+        ask: &Ask,
+    ) -> Estimate {
+        let load = self.load(now);
+        let running = load.running + 1;
+        let slots = self.target.slots.max(1);
+        let pass = engine.pass_ms(self.target.pace, running);
+        let prefill = engine.prefill_ms(self.target.pace, u64::from(load.prefill) + ask.prompt);
+        let excess = running.saturating_sub(slots);
+        let turn = pass * MEAN_PASSES / f64::from(slots);
+        let slot_ms = turn * f64::from(excess);
+        let first_ms = pass * 1.5 + prefill + slot_ms;
+        let far = match self.target.failure_domain == settings.failure_domain {
+            true => 0.0,
+            false => settings.far_ms,
+        };
+        let plain = f64::from(load.running) / f64::from(slots) * PLAIN_MS;
+        let cost = (first_ms + plain + far) * (1.0 + FAILURE_FACTOR * self.failures.powi(2));
+        let halt = (pass + prefill) / HALT_PART;
+        let pause = ask.pause.map_or(f64::INFINITY, |it| it.as_secs_f64() * 1_000.0);
+        let halting = load.prefill > 0 && halt > pause;
+        Estimate { first_ms, cost, excess, full: excess > 0, slot_ms: slot_ms.max(pass), halting }
+    }
+}
--- /dev/null
+++ b/decision/src/gateway/formation/supply.rs
@@ -0,0 +1,208 @@
+//! What is made of the instances that belong to no replica.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+
+use super::order::{Action, Order};
+use super::view::{Instances, has, staged};
+use super::weight::{FAR_AHEAD, cost, is_in_the_way, last_cost};
+use super::{Formation, Group, Stage};
+use crate::gateway::engine::{Engine, Model};
+use crate::gateway::fleet::{Instance, Member, Phase, Presence, State};
+use crate::prelude::*;
+
+impl Formation {
+    /// The instances that belong to no replica, by fabric domain.
+    pub(super) fn free<'a>(
+        &mut self,
+        now: Time,
+        all: &Instances<'a>,
+        actions: &mut Vec<Action>,
+    ) -> BTreeMap<Arc<str>, Vec<&'a Instance>> {
+        let members =
+            |it: &Group| it.members.iter().filter(|id| !it.gone.contains(*id)).cloned().collect();
+        let taken: HashSet<Arc<str>> =
+            self.groups.values().flat_map(|it| -> Vec<Arc<str>> { members(it) }).collect();
+        let mut strays = Vec::new();
+        let mut free: BTreeMap<Arc<str>, Vec<&Instance>> = BTreeMap::new();
+        for (instance, presence) in all.known.values() {
+            let Some(fabric) = &instance.fabric else { continue };
+            let answers = *presence == Presence::Listed || self.is_vouched(instance);
+            let alive = answers && !self.is_dead(now, instance);
+            let usable = instance.phase == Phase::Ready && alive;
+            if !usable || taken.contains(&*instance.id) {
+                continue;
+            }
+            // What is left of a replica that isn't known leaves it before it is used again.
+            let left = |it: &Member| {
+                let key = (it.group.clone(), it.epoch);
+                self.left.contains_key(&(instance.id.clone(), key))
+            };
+            if let Some(member) = &instance.member
+                && !left(member)
+                && (member.rank > 0 || matches!(member.state, State::Open | State::Closing))
+            {
+                let (group, epoch) = (member.group.clone(), member.epoch);
+                strays.push((instance.id.clone(), Order::Leave { group, epoch }));
+                continue;
+            }
+            free.entry(fabric.clone()).or_default().push(instance);
+        }
+        for (id, order) in strays {
+            self.send(now, all, &id, order, actions);
+        }
+        free
+    }
+
+    /// Forms replicas of free instances, of the model that is missed most.
+    pub(super) fn form(
+        &mut self,
+        now: Time,
+        engine: &Engine,
+        all: &Instances<'_>,
+        free: &mut BTreeMap<Arc<str>, Vec<&Instance>>,
+        actions: &mut Vec<Action>,
+    ) {
+        loop {
+            let counts = self.counts();
+            let mut best: Option<(f64, &Model, Arc<str>)> = None;
+            for (fabric, instances) in free.iter() {
+                let room = instances.len().saturating_sub(self.reserve(engine, all, fabric));
+                let fits = engine.models.iter().filter(|it| it.size <= room);
+                for model in fits.filter(|it| self.is_formable(all, it, instances)) {
+                    if is_in_the_way(engine, model, &counts, room) {
+                        continue;
+                    }
+                    let cost = cost(model, &counts);
+                    if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                        best = Some((cost, model, fabric.clone()));
+                    }
+                }
+            }
+            let Some((_, model, fabric)) = best else { return };
+            let Some(instances) = free.get_mut(&fabric) else { return };
+            self.take(now, model, instances, all, actions);
+        }
+    }
+
+    /// Instances of a fabric domain that stay free to heal its replicas, once it has one of each
+    /// model.
+    pub(super) fn reserve(&self, engine: &Engine, all: &Instances<'_>, fabric: &Arc<str>) -> usize {
+        let here = |it: &Model| self.is_served(all, fabric, it);
+        if engine.models.iter().all(here) { self.settings.reserve } else { 0 }
+    }
+
+    /// Replicas by model.
+    pub(super) fn counts(&self) -> HashMap<Arc<str>, usize> {
+        let mut counts = HashMap::new();
+        for group in self.groups.values().filter(|it| it.stage != Stage::Ending) {
+            *counts.entry(group.model.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Whether all weights for one replica are there. They are staged first, so that the instances
+    /// stay usable meanwhile, unless loads are free.
+    pub(super) fn is_formable(
+        &self,
+        all: &Instances<'_>,
+        model: &Model,
+        instances: &[&Instance],
+    ) -> bool {
+        let listed = |it: &&Instance| all.get(&it.id).is_some();
+        if !instances.iter().any(|it| listed(it) && (self.loads_free || has(it, &model.name))) {
+            return false;
+        }
+        staged(instances, model) >= model.size || self.loads_free
+    }
+
+    pub(super) fn take(
+        &mut self,
+        now: Time,
+        model: &Model,
+        instances: &mut Vec<&Instance>,
+        all: &Instances<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        instances.sort_by_key(|it| {
+            let member = it.model.as_ref() == Some(&model.name);
+            let preference = if member {
+                0
+            } else if has(it, &model.name) {
+                1
+            } else {
+                2
+            };
+            (preference, all.get(&it.id).is_none(), it.warmup_left, it.id.clone())
+        });
+        let mut chosen: Vec<&Instance> = instances.drain(..model.size).collect();
+        // Requests go to the head, which therefore has to be listed.
+        chosen.sort_by_key(|it| all.get(&it.id).is_none());
+        let epoch = self.next_epoch();
+        let group: Arc<str> = format!("r{epoch}").into();
+        for instance in chosen.iter().filter(|it| !has(it, &model.name)) {
+            self.loads.push_back(now);
+            self.loading.insert(instance.id.clone(), (now + model.load, model.name.clone()));
+        }
+        let members: Vec<Arc<str>> = chosen.iter().map(|it| it.id.clone()).collect();
+        for id in &members {
+            let order = Order::Join {
+                group: group.clone(),
+                epoch,
+                model: model.name.clone(),
+                members: members.clone(),
+            };
+            self.sent.remove(id);
+            self.send(now, all, id, order, actions);
+        }
+        let formed = Group {
+            model: model.name.clone(),
+            born: chosen.iter().map(|it| it.born).collect(),
+            members,
+            since: now,
+            ended: now,
+            gone: HashSet::new(),
+            stage: Stage::Forming,
+        };
+        self.groups.insert((group, epoch), formed);
+    }
+
+    /// Ends a replica of a model that is far ahead, where its instances would complete one of the
+    /// model that is missed most.
+    pub(super) fn rebalance(
+        &mut self,
+        now: Time,
+        engine: &Engine,
+        all: &Instances<'_>,
+        free: &BTreeMap<Arc<str>, Vec<&Instance>>,
+    ) {
+        let settled = self.groups.values().all(|it| it.stage == Stage::Whole);
+        let counts = self.counts();
+        let missed =
+            engine.models.iter().min_by(|a, b| cost(a, &counts).total_cmp(&cost(b, &counts)));
+        let Some(missed) = missed.filter(|_| settled && !self.loads_free) else { return };
+        let ahead = |it: &Group| {
+            let model = engine.model(&it.model).filter(|it| it.name != missed.name)?;
+            let ratio = last_cost(model, &counts) / cost(missed, &counts);
+            (ratio >= FAR_AHEAD).then_some(model.size)
+        };
+        for (fabric, instances) in free {
+            let long = self
+                .calm
+                .get(fabric)
+                .is_some_and(|(_, since)| now.since(*since) >= self.settings.rebalance);
+            if !long || self.is_hasty(all, fabric) || self.is_served(all, fabric, missed) {
+                continue;
+            }
+            let group = self.groups.values_mut().find(|it| {
+                let size = ahead(it).filter(|_| it.is_in(all, fabric));
+                size.is_some_and(|size| {
+                    instances.len() < missed.size && instances.len() + size >= missed.size
+                })
+            });
+            if let Some(group) = group {
+                return group.end(now);
+            }
+        }
+    }
+}
