Keep replicas whose members are cut off from the list when the owner changes

The entry that took over had started half a second before: it had never seen the entries that had lapsed, took replicas over without those members and, when these came back, told them to leave replicas that served. Where a head was cut off, its members were sent away at once. Large replicas went from 6 to 3 for seven seconds.

Change: an owner takes over what instances say whose entries are gone since a moment ago, and adds members that are seen later; the entries that have watched the instances for 15 s come before those that have not; candidates that can't reach the store are not waited for; the first one waits 250 ms instead of 500.

Ruled out: the order of healing (the orders of the log were the right ones for what the owner knew).

Both tests of the new owner fail without the change.

--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -7,10 +7,12 @@
 //! | Which replica or plain target gets it, or is it refused? | [`balance::Balance`] |
 //! | May it be sent once more? | [`budget::Budget`] |
 //! | May a cold target get it? | [`warmup::Limiter`] |
+//! | Who owns the replicas next? | [`candidate::pause`] |
 //! | What is to be formed, healed, staged? | [`formation::Formation`] |
 
 pub mod balance;
 pub mod budget;
+pub mod candidate;
 pub mod config;
 pub mod engine;
 pub mod fleet;
--- /dev/null
+++ b/decision/src/gateway/candidate.rs
@@ -0,0 +1,63 @@
+//! Who takes over the replicas when nobody owns them, and after which pause.
+//!
+//! Nothing depends on the order of the candidates: the store lets one of them win. It makes the
+//! one win that knows most, as a rule without a race.
+
+use crate::prelude::*;
+
+/// How long candidates wait for each other.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Time without an owner after which the first candidate takes over.
+    pub vacant: Duration,
+    /// Time by which each further candidate waits longer.
+    pub step: Duration,
+    /// Time by which an entry waits longer that hears less than half of the others.
+    pub minority: Duration,
+}
+
+/// An entry that may own the replicas.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Its name.
+    pub name: String,
+    /// Whether it reaches the store.
+    pub store: bool,
+    /// Whether it has watched the instances for long enough to know those that are cut off from
+    /// the list.
+    pub seasoned: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            vacant: Duration::from_millis(250),
+            step: Duration::from_millis(700),
+            minority: Duration::from_secs(4),
+        }
+    }
+}
+
+/// Time without an owner after which `own` takes over, given the living candidates among `entries`
+/// entries in all. None if it can't.
+pub fn pause(
+    settings: &Settings,
+    own: &Candidate,
+    others: &[Candidate],
+    entries: usize,
+) -> Option<Duration> {
+    if !own.store {
+        return None;
+    }
+    let before = others.iter().filter(|it| it.store && it.rank() < own.rank()).count();
+    let before = u32::try_from(before).unwrap_or(u32::MAX);
+    let minority = (others.len() + 1) * 2 < entries;
+    let longer = if minority { settings.minority } else { Duration::ZERO };
+    Some(settings.vacant + settings.step.saturating_mul(before) + longer)
+}
+
+impl Candidate {
+    fn rank(&self) -> (bool, &str) {
+        (!self.seasoned, &self.name)
+    }
+}
--- a/decision/src/gateway/fleet.rs
+++ b/decision/src/gateway/fleet.rs
@@ -130,7 +130,7 @@
 type Ranked = Vec<(u32, Arc<str>)>;
 
 /// Time for which an instance whose entry is gone is remembered.
-const DEPARTED: Duration = Duration::from_secs(15);
+pub const DEPARTED: Duration = Duration::from_secs(15);
 
 #[derive(Clone, Debug)]
 struct Listed {
--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -351,6 +351,14 @@
 }
 
 impl Group {
+    /// Adds a member that was not seen yet when the replica was taken over.
+    fn complete(&mut self, member: &Instance) {
+        if !self.members.contains(&member.id) {
+            self.members.push(member.id.clone());
+            self.born.push(member.born);
+        }
+    }
+
     fn end(&mut self, now: Time) {
         self.stage = Stage::Ending;
         self.ended = now;
--- a/decision/src/gateway/formation/life.rs
+++ b/decision/src/gateway/formation/life.rs
@@ -10,15 +10,19 @@
 use crate::prelude::*;
 
 impl Formation {
-    /// Takes over the replicas that are whole by what their members say.
+    /// Takes over the replicas that are whole by what their members say, those included whose
+    /// entries are gone since a moment ago: they may be cut off from the list alone.
     pub(super) fn adopt(&mut self, now: Time, engine: &Engine, all: &Instances<'_>) {
         let mut seen: BTreeMap<Key, Vec<&Instance>> = BTreeMap::new();
-        for instance in all.listed() {
+        for (instance, _) in all.known.values() {
             let Some(member) = &instance.member else { continue };
             let key = (member.group.clone(), member.epoch);
-            let left = self.left.contains_key(&(instance.id.clone(), key.clone()));
-            if !left && !self.groups.contains_key(&key) {
-                seen.entry(key).or_default().push(instance);
+            if self.left.contains_key(&(instance.id.clone(), key.clone())) {
+                continue;
+            }
+            match self.groups.get_mut(&key) {
+                Some(group) => group.complete(instance),
+                None => seen.entry(key).or_default().push(instance),
             }
         }
         for (key, mut members) in seen {
--- a/decision/tests/gateway/formation.rs
+++ b/decision/tests/gateway/formation.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use proptest::prelude::*;
+use rstest::rstest;
 
 use crate::world::World;
 
@@ -56,20 +57,13 @@
 fn a_member_that_is_only_cut_off_from_the_list_stays() {
     let mut world = formed(4);
     let cut = last(&world);
-    let epochs = |world: &World| -> Vec<u64> {
-        world
-            .hosts
-            .values()
-            .filter_map(|it| it.instance.member.as_ref().map(|it| it.epoch))
-            .collect()
-    };
-    let before = epochs(&world);
+    let before = world.epochs();
     world.cut(&cut, true);
     world.run(8_000);
-    assert_eq!(epochs(&world), before);
+    assert_eq!(world.epochs(), before);
     world.cut(&cut, false);
     world.run(2_000);
-    assert_eq!(epochs(&world), before);
+    assert_eq!(world.epochs(), before);
 }
 
 #[test]
@@ -109,6 +103,29 @@
     assert_eq!((world.serving("large"), world.serving("small")), (2, 2));
 }
 
+/// An owner that was started anew has never seen the members whose entries are gone.
+#[rstest]
+#[case::that_saw_the_members(World::replace_owner)]
+#[case::that_never_saw_them(World::replace_owner_and_list)]
+fn a_new_owner_keeps_replicas_whose_members_are_cut_off_from_the_list(
+    #[case] replace: fn(&mut World),
+) {
+    let mut world = formed(10);
+    let before = world.members();
+    let epochs = world.epochs();
+    // Two heads come first, the members of both models after them.
+    let cut: Vec<Arc<str>> = before[4..].iter().step_by(3).cloned().collect();
+    cut.iter().for_each(|it| world.cut(it, true));
+    world.run(5_000);
+    replace(&mut world);
+    world.run(5_000);
+    assert_eq!(world.epochs(), epochs, "while they are cut off");
+    cut.iter().for_each(|it| world.cut(it, false));
+    world.run(5_000);
+    assert_eq!(world.epochs(), epochs, "when they are back");
+    assert_eq!((world.serving("large"), world.serving("small")), (2, 2));
+}
+
 #[test]
 fn a_restarted_fabric_domain_is_formed_again_from_its_staged_weights() {
     let mut world = formed(6);
--- a/decision/tests/gateway/main.rs
+++ b/decision/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod balance;
 mod budget;
+mod candidate;
 mod fleet;
 mod formation;
 mod route;
--- a/decision/tests/gateway/support.rs
+++ b/decision/tests/gateway/support.rs
@@ -12,7 +12,7 @@
     Time::from_millis(millis)
 }
 
-pub(crate) fn ms(millis: u64) -> Duration {
+pub(crate) const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
--- a/decision/tests/gateway/world.rs
+++ b/decision/tests/gateway/world.rs
@@ -103,6 +103,12 @@
         self.formation = Formation::new(fence, Settings::default());
     }
 
+    /// A new owner that reads the list for the first time.
+    pub(crate) fn replace_owner_and_list(&mut self) {
+        self.replace_owner();
+        self.fleet = Fleet::default();
+    }
+
     pub(crate) fn kill(&mut self, id: &str) {
         if let Some(host) = self.hosts.get_mut(id) {
             host.dead = true;
@@ -148,6 +154,13 @@
         self.hosts.insert(instance.id.clone(), Host::new(instance));
     }
 
+    /// Epochs of the replicas that hosts are members of, spares included, in the order of the
+    /// hosts.
+    pub(crate) fn epochs(&self) -> Vec<u64> {
+        let members = self.hosts.values().filter_map(|it| it.instance.member.as_ref());
+        members.map(|it| it.epoch).collect()
+    }
+
     /// Members of replicas that serve, by model.
     pub(crate) fn serving(&self, model: &str) -> usize {
         let heads = self.hosts.values().filter(|it| !it.dead && it.state() == Some(State::Open));
--- a/gateway/src/apply.rs
+++ b/gateway/src/apply.rs
@@ -31,6 +31,7 @@
         }
         Kind::Instances => {
             knowledge.fleet_at = knowledge.fleet_at.max(Some(known));
+            knowledge.fleet_since.get_or_insert(now);
             knowledge.fleet.list(now, items.into_iter().filter_map(instance));
         }
         Kind::Evacuations => knowledge.fleet.evacuate(items.into_iter().map(|it| it.name)),
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use decision::gateway::balance::hash;
+use decision::gateway::candidate::{self, Candidate};
 use decision::gateway::fleet::{Instance, Presence};
 use decision::gateway::formation::{self, Action, Doubt, Formation, Order};
 use decision::prelude::*;
@@ -27,15 +28,6 @@
 /// Pause between two plans without news.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Time without an owner after which the first candidate takes over.
-const VACANT: Duration = Duration::from_millis(500);
-
-/// Time by which each further candidate waits longer.
-const VACANT_STEP: Duration = Duration::from_millis(700);
-
-/// Time by which an entry waits longer that hears less than half of the others.
-const MINORITY: Duration = Duration::from_secs(4);
-
 /// Time without the store after which a peer that reaches it had better own the replicas.
 const STALE: Duration = Duration::from_millis(1_200);
 
@@ -146,17 +138,17 @@
         let known = knowledge.fleet_at.is_some() && knowledge.table.version() > 0;
         let entries = knowledge.entries.len();
         drop(knowledge);
-        if !known || self.is_stopping() || !self.shared.is_store_up() {
+        if !known || self.is_stopping() {
             return false;
         }
-        let alive = self.shared.peers.alive(now);
-        let own = &self.shared.settings().instance;
-        let before = alive.iter().filter(|it| *it < own).count() as u32;
-        let mut wait = VACANT + VACANT_STEP * before;
-        if (alive.len() + 1) * 2 < entries {
-            wait += MINORITY;
-        }
-        now.since(self.vacant_since) >= wait
+        let own = Candidate {
+            name: self.shared.settings().instance.clone(),
+            store: self.shared.is_store_up(),
+            seasoned: self.shared.is_seasoned(),
+        };
+        let others = self.shared.peers.candidates(now);
+        let pause = candidate::pause(&candidate::Settings::default(), &own, &others, entries);
+        pause.is_some_and(|it| now.since(self.vacant_since) >= it)
     }
 
     /// Takes the lease, if nobody else does at the same time.
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use decision::gateway::balance::{Load, hash};
+use decision::gateway::candidate::Candidate;
 use decision::prelude::*;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -60,6 +61,7 @@
     life: u64,
     owner: Option<u64>,
     store: bool,
+    seasoned: bool,
     seen: bool,
     leaving: bool,
     /// Whether the peer that hears this hears such a word in each round.
@@ -90,6 +92,7 @@
     life: u64,
     owner: Option<u64>,
     store: bool,
+    seasoned: bool,
     leaving: bool,
     often: bool,
     loads: Vec<(u64, Load)>,
@@ -102,11 +105,16 @@
         self.state().own = fence;
     }
 
-    /// Names of the peers that are alive and don't leave.
-    pub(crate) fn alive(&self, now: Time) -> Vec<String> {
+    /// The peers that are alive and don't leave.
+    pub(crate) fn candidates(&self, now: Time) -> Vec<Candidate> {
         let state = self.state();
         let alive = state.peers.iter().filter(|(_, it)| it.is_alive(now) && !it.leaving);
-        alive.map(|(name, _)| name.clone()).collect()
+        let candidate = |(name, it): (&String, &Peer)| Candidate {
+            name: name.clone(),
+            store: it.store,
+            seasoned: it.seasoned,
+        };
+        alive.map(candidate).collect()
     }
 
     /// The highest fencing token under which a living peer gives orders.
@@ -265,6 +273,7 @@
         life,
         owner: shared.peers.state().own,
         store: shared.is_store_up(),
+        seasoned: shared.is_seasoned(),
         seen: shared.seen.load(Ordering::Relaxed),
         leaving: shared.stopping.load(Ordering::Relaxed),
         often: true,
@@ -310,6 +319,7 @@
         life: word.life,
         owner: word.owner,
         store: word.store,
+        seasoned: word.seasoned,
         leaving: word.leaving,
         often: word.often,
         loads: if word.sum { Vec::new() } else { word.loads },
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwap;
 use decision::gateway::balance::{self, Balance, Target};
 use decision::gateway::budget::{self, Budget};
-use decision::gateway::fleet::Fleet;
+use decision::gateway::fleet::{self, Fleet};
 use decision::gateway::route::Table;
 use decision::prelude::*;
 use tokio::sync::Notify;
@@ -74,6 +74,8 @@
     pub(crate) fleet: Fleet,
     /// When the last question was sent whose answer confirmed the list of instances.
     pub(crate) fleet_at: Option<Time>,
+    /// When the instances were listed first.
+    pub(crate) fleet_since: Option<Time>,
     /// Entries by name.
     pub(crate) entries: HashMap<Arc<str>, Entry>,
 }
@@ -158,6 +160,13 @@
         self.store_up.load(Ordering::Relaxed)
     }
 
+    /// Whether the instances have been watched for as long as those whose entries are gone are
+    /// remembered.
+    pub(crate) fn is_seasoned(&self) -> bool {
+        let since = self.knowledge().fleet_since;
+        since.is_some_and(|it| self.now().since(it) >= fleet::DEPARTED)
+    }
+
     /// Counts a caller's request to `service`.
     pub(crate) fn count_request(&self, service: &Arc<str>) {
         let now = self.now();
