Count a repeat against the budget when it is sent, not when it is looked for

Cause: a request that waited for a free target took one repeat out of the budget each time it looked, up to once for each slot that came free, and gave none back when it found nothing. Under load, when repeats matter most, an entry refused them although few had been sent. Found by reading.

Change: the budget is asked whether it has room, and a repeat is counted when a target was chosen for it.

--- a/decision/src/gateway/budget.rs
+++ b/decision/src/gateway/budget.rs
@@ -49,18 +49,19 @@
         self.part(now).requests += 1;
     }
 
-    /// Takes one repeat, if this entry's part has one left. The slack is split over `entries`.
-    pub fn spend(&mut self, now: Time, entries: usize) -> bool {
+    /// Whether this entry's part has a repeat left. The slack is split over `entries`.
+    pub fn has_room(&mut self, now: Time, entries: usize) -> bool {
         self.part(now);
         let requests: u32 = self.parts.iter().map(|it| it.requests).sum();
         let repeats: u32 = self.parts.iter().map(|it| it.repeats).sum();
         let slack = self.settings.slack / entries.max(1) as f64;
         let allowed = self.settings.ratio * f64::from(requests) + slack;
-        let enough = f64::from(repeats) + 1.0 <= allowed;
-        if enough {
-            self.part(now).repeats += 1;
-        }
-        enough
+        f64::from(repeats) + 1.0 <= allowed
+    }
+
+    /// Counts a repeat that is sent.
+    pub fn repeat(&mut self, now: Time) {
+        self.part(now).repeats += 1;
     }
 
     /// The part of the window that `now` falls into. Older parts than the window go.
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -248,7 +248,8 @@
             avoid: self.avoid.clone(),
             urgent,
         };
-        if self.sends > 0 && !self.shared.spend(&self.service.name) {
+        let repeat = self.sends > 0;
+        if repeat && !self.shared.may_repeat(&self.service.name) {
             return Err(Denial::Budget);
         }
         let mut balance = self.shared.balance();
@@ -256,6 +257,9 @@
             Choice::Send(key) => {
                 let target = balance.target(key).cloned();
                 drop(balance);
+                if repeat {
+                    self.shared.count_repeat(&self.service.name);
+                }
                 self.shared.loaded.notify_one();
                 let target = target.ok_or(Denial::Nothing)?;
                 let shared = self.shared.clone();
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -173,11 +173,17 @@
         self.budget(service, |it| it.request(now));
     }
 
-    /// Takes one repeat to `service` out of this entry's part of the budget.
-    pub(crate) fn spend(&self, service: &Arc<str>) -> bool {
+    /// Whether this entry's part of the budget has a repeat to `service` left.
+    pub(crate) fn may_repeat(&self, service: &Arc<str>) -> bool {
         let now = self.now();
         let entries = self.knowledge().entries.len();
-        self.budget(service, |it| it.spend(now, entries))
+        self.budget(service, |it| it.has_room(now, entries))
+    }
+
+    /// Counts a repeat to `service`.
+    pub(crate) fn count_repeat(&self, service: &Arc<str>) {
+        let now = self.now();
+        self.budget(service, |it| it.repeat(now));
     }
 
     fn budget<T>(&self, service: &Arc<str>, with: impl FnOnce(&mut Budget) -> T) -> T {
