Share the rate of cold targets anew when the list of entries changes

Cause: a change of the list of entries did not reach the balance before the next change of configuration or instances. Entries that joined added their part to the old parts of all others, beyond the rate that a cold target bears: 5 requests a second stayed 5 with nine more entries, for 20 s and longer in the test, which fails without the change.

--- a/gateway/src/apply.rs
+++ b/gateway/src/apply.rs
@@ -35,10 +35,7 @@
             knowledge.fleet.list(now, items.into_iter().filter_map(instance));
         }
         Kind::Evacuations => knowledge.fleet.evacuate(items.into_iter().map(|it| it.name)),
-        Kind::Entries => {
-            knowledge.entries = items.into_iter().filter_map(entry).collect();
-            return;
-        }
+        Kind::Entries => knowledge.entries = items.into_iter().filter_map(entry).collect(),
         Kind::Leases => return,
     }
     drop(knowledge);
@@ -80,7 +77,6 @@
         Kind::Entries => {
             knowledge.entries.extend(put.into_iter().filter_map(entry));
             gone.iter().for_each(|it| drop(knowledge.entries.remove(it)));
-            return;
         }
         Kind::Evacuations | Kind::Leases => return,
     }
