--- a/decision/src/gateway/balance.rs
+++ b/decision/src/gateway/balance.rs
@@ -153,7 +153,7 @@
             compared: 4,
             trial: Duration::from_millis(500),
             trial_limit: Duration::from_secs(2),
-            silence: Duration::from_millis(60),
+            silence: Duration::from_millis(30),
             first: Duration::from_millis(120),
             backlog: 2,
             seed: 0,
