Let a replica give way to a model that is missed more, although it is whole

Cause: a replica that was to end for the sake of another model went on as soon as its head was looked at, since it was whole; the plan ended it again and again. Found by a history of the property test, once its stand-in of the list showed instances that are cut off as they were, not as they are: two fabric domains ended with one large replica and three small ones for good.

Change: a replica whose instances are wanted elsewhere is marked so. The test and the history (kept as a regression) fail without it.

Tried and taken back: reading from the instances themselves that they joined a replica, where the list does not show it. It heals with spares that are cut off from the store, and breaks what makes a new owner safe: all that an owner acts on has to be in the store before.

--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -103,6 +103,8 @@
     since: Time,
     /// When its end began.
     ended: Time,
+    /// Whether its instances are wanted for another model, so that it ends although it is whole.
+    unwanted: bool,
     /// Members that have left it at its end.
     gone: HashSet<Arc<str>>,
     stage: Stage,
@@ -376,6 +378,11 @@
         self.ended = now;
     }
 
+    fn give_way(&mut self, now: Time) {
+        self.unwanted = true;
+        self.end(now);
+    }
+
     fn is_in(&self, all: &Instances<'_>, fabric: &Arc<str>) -> bool {
         let mut members = self.members.iter().filter_map(|it| all.recall(it));
         members.any(|it| it.fabric.as_ref() == Some(fabric))
--- a/decision/src/gateway/formation/life.rs
+++ b/decision/src/gateway/formation/life.rs
@@ -50,6 +50,7 @@
                 born: members.iter().map(|it| it.born).collect(),
                 since: now,
                 ended: now,
+                unwanted: false,
                 gone: HashSet::new(),
                 stage: if open || !joining { Stage::Whole } else { Stage::Forming },
             };
@@ -224,7 +225,8 @@
         let (name, epoch) = (key.0.clone(), key.1);
         let head = group.members[0].clone();
         let state = self.state(all, &head, key);
-        let intact = group.gone.is_empty() && !self.is_lost(now, all, key, group);
+        let wanted = !group.unwanted && group.gone.is_empty();
+        let intact = wanted && !self.is_lost(now, all, key, group);
         if state == Some(State::Open) && intact {
             group.stage = Stage::Whole;
             return true;
--- a/decision/src/gateway/formation/supply.rs
+++ b/decision/src/gateway/formation/supply.rs
@@ -161,6 +161,7 @@
             members,
             since: now,
             ended: now,
+            unwanted: false,
             gone: HashSet::new(),
             stage: Stage::Forming,
         };
@@ -201,7 +202,7 @@
                 })
             });
             if let Some(group) = group {
-                return group.end(now);
+                return group.give_way(now);
             }
         }
     }
--- a/decision/tests/gateway/formation.rs
+++ b/decision/tests/gateway/formation.rs
@@ -149,6 +149,33 @@
     assert_eq!((world.serving("large"), world.serving("small")), (2, 2));
 }
 
+/// After losses and a restart, one fabric domain holds two small replicas and too few instances
+/// for a large one, of which the other fabric domain has the only one.
+#[test]
+fn a_replica_gives_way_to_one_of_a_model_that_is_missed_more() {
+    let mut world = formed(0);
+    let ids: Vec<Arc<str>> = world.hosts.keys().cloned().collect();
+    world.kill(&ids[10]);
+    world.run(100);
+    world.hide(&ids[6], true);
+    world.run(100);
+    world.kill(&ids[6]);
+    world.run(2_000);
+    world.kill(&ids[1]);
+    world.run(3_600);
+    world.hide(&ids[1], false);
+    world.run(800);
+    world.kill(&ids[0]);
+    world.run(100);
+    world.restart(&ids[8]);
+    world.run(200);
+    ids.iter().for_each(|it| world.restart(it));
+    world.run(2_000);
+    assert_eq!((world.serving("large"), world.serving("small")), (1, 3));
+    world.run(40_000);
+    assert_eq!((world.serving("large"), world.serving("small")), (2, 2));
+}
+
 /// Also across owners, of whom each knows only its own loads.
 #[rstest]
 #[case::of_one_owner(0)]
--- a/decision/tests/gateway/world.rs
+++ b/decision/tests/gateway/world.rs
@@ -37,6 +37,8 @@
     dead: bool,
     /// Since when it is cut off from the list.
     cut: Option<u64>,
+    /// What the list shows of it while it is cut off.
+    shown: Option<Instance>,
     /// Whether it is cut off from the owner too, while it serves others.
     hidden: bool,
     broken_at: Option<u64>,
@@ -114,6 +116,7 @@
         if let Some(host) = self.hosts.get_mut(id) {
             host.dead = true;
             host.cut.get_or_insert(self.now);
+            host.shown.get_or_insert(host.instance.clone());
         }
     }
 
@@ -121,6 +124,7 @@
         let now = self.now;
         if let Some(host) = self.hosts.get_mut(id) {
             host.cut = on.then(|| host.cut.unwrap_or(now));
+            host.shown = on.then(|| host.shown.take().unwrap_or(host.instance.clone()));
         }
     }
 
@@ -273,7 +277,7 @@
     fn list(&mut self) {
         let listed =
             self.hosts.values().filter(|it| it.cut.is_none_or(|since| self.now - since < LAPSE));
-        let view = listed.map(|it| it.instance.clone()).collect();
+        let view = listed.map(|it| it.shown.as_ref().unwrap_or(&it.instance).clone()).collect();
         self.views.push_back((self.now, view));
         while let Some((seen, _)) = self.views.front() {
             if *seen + LAG > self.now {
@@ -380,6 +384,7 @@
             ready_at: 0,
             dead: false,
             cut: None,
+            shown: None,
             hidden: false,
             broken_at: None,
             fence: 0,
