--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -83,7 +83,8 @@
 
 /// Follows all kinds of objects.
 pub(crate) async fn run<P: Platform>(shared: Arc<Shared<P>>) {
-    let (up, reachable) = watch::channel(false);
+    // Nothing is lost before the first call has failed.
+    let (up, reachable) = watch::channel(true);
     let (source, sources) = watch::channel(Source::Store);
     let follow = |kind| Follower {
         shared: shared.clone(),
