--- a/decision/src/gateway/balance.rs
+++ b/decision/src/gateway/balance.rs
@@ -4,18 +4,21 @@
 //! target whose streams are all silent is suspect: new work keeps off, and one trial after a
 //! pause shows whether it answers again.
 
+mod ask;
+mod target;
 mod track;
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use rand::RngExt as _;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::SeedableRng;
-use serde::{Deserialize, Serialize};
 use slotmap::{SlotMap, new_key_type};
 
+pub use ask::{Ask, Choice, End};
+pub use target::{Load, Target};
+
 use crate::gateway::engine::Engine;
 use crate::gateway::warmup;
 use crate::prelude::*;
@@ -54,79 +57,6 @@
     pub seed: u64,
 }
 
-/// A target as the list shows it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Target {
-    /// Identifier of the instance that requests go to.
-    pub id: Arc<str>,
-    /// Identifies this start of it, and its replica's epoch.
-    pub life: (u64, u64),
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Its failure domain.
-    pub failure_domain: Arc<str>,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// The model that it serves, if it is a replica.
-    pub model: Option<Arc<str>>,
-    /// Factor on its times.
-    pub pace: f64,
-    /// Identifiers of all its instances.
-    pub members: Vec<Arc<str>>,
-}
-
-/// What a request asks for.
-#[derive(Clone, Debug, Default)]
-pub struct Ask {
-    /// The model, if the request names one.
-    pub model: Option<Arc<str>>,
-    /// Tokens of its prompt.
-    pub prompt: u64,
-    /// Time until its first token is late.
-    pub objective: Duration,
-    /// Longest pause between two events of a stream that is on time, if it has streams.
-    pub pause: Option<Duration>,
-    /// Targets that it was sent to already.
-    pub avoid: Vec<Key>,
-    /// The most urgent of requests are placed also where others have to wait.
-    pub urgent: bool,
-}
-
-/// What becomes of a request.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Choice {
-    /// It is sent to this target.
-    Send(Key),
-    /// All targets are busy; one is free after about this time.
-    Busy(Duration),
-    /// There is no target that could run it.
-    None,
-}
-
-/// How an attempt on a target ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// It answered, with whatever status.
-    Answered,
-    /// It refused and did not run the request.
-    Refused,
-    /// It broke off, was silent, or couldn't be reached.
-    Failed,
-    /// The caller left.
-    Left,
-}
-
-/// The load of one target at one entry, as it is told to peers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Load {
-    /// Requests in progress.
-    pub running: u32,
-    /// Prompt tokens of those that have no token yet.
-    pub prefill: u32,
-    /// Milliseconds since its last event.
-    pub quiet_ms: u32,
-}
-
 /// All targets of an entry.
 #[derive(Debug)]
 pub struct Balance {
--- /dev/null
+++ b/decision/src/gateway/balance/target.rs
@@ -0,0 +1,38 @@
+//! One target, and what an entry has in progress on it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A target as the list shows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    /// Identifier of the instance that requests go to.
+    pub id: Arc<str>,
+    /// Identifies this start of it, and its replica's epoch.
+    pub life: (u64, u64),
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// The model that it serves, if it is a replica.
+    pub model: Option<Arc<str>>,
+    /// Factor on its times.
+    pub pace: f64,
+    /// Identifiers of all its instances.
+    pub members: Vec<Arc<str>>,
+}
+
+/// The load of one target at one entry, as it is told to peers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests in progress.
+    pub running: u32,
+    /// Prompt tokens of those that have no token yet.
+    pub prefill: u32,
+    /// Milliseconds since its last event.
+    pub quiet_ms: u32,
+}
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -8,9 +8,11 @@
 
 use crate::body::Answer;
 use crate::error::Call;
+use crate::place::Place;
 use crate::pool::{Channel, Reply};
 use crate::port::{Platform, Run};
-use crate::request::{Denial, Job, Place, Refusal, Times, strip};
+use crate::refusal::{Denial, Refusal};
+use crate::request::{Job, Times, strip};
 
 /// Largest body of an answer that is gathered, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -20,8 +20,10 @@
 use crate::body::Answer;
 use crate::journal::Event;
 use crate::port::{Head, Platform};
-use crate::request::{Job, Refusal, millis, strip, target_uri, way};
+use crate::refusal::Refusal;
+use crate::request::{Job, millis, strip, target_uri};
 use crate::state::Shared;
+use crate::way::way;
 use crate::{call, stream};
 
 /// Longest time for a body that comes in.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! | part | job |
 //! | --- | --- |
-//! | `intake`, `request`, `call`, `stream` | callers' requests, from the first byte to the last |
+//! | `intake`, `way`, `request`, `place`, `call`, `stream`, `refusal` | callers' requests, from the first byte to the last |
 //! | `follow`, `relay`, [`mirror`], `apply` | what the store says, read there or at a peer |
 //! | `owner` | orders to instances, by one entry at a time |
 //! | `peers` | what entries tell each other |
@@ -25,14 +25,17 @@
 pub mod mirror;
 mod owner;
 mod peers;
+mod place;
 pub mod pool;
 pub mod port;
 mod ready;
+mod refusal;
 mod relay;
 mod request;
 pub mod settings;
 pub mod splitter;
 mod state;
 mod stream;
+mod way;
 
 pub use error::Error;
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -3,9 +3,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use decision::gateway::balance::{Ask, Choice, End, Key, Target};
+use decision::gateway::balance::{Ask, Choice, Key};
 use decision::gateway::config::{Route, Service};
-use decision::gateway::route::{Holder, Table};
 use decision::prelude::*;
 use http::header::{self, HeaderName};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, request};
@@ -15,7 +14,9 @@
 
 use crate::body::Answer;
 use crate::journal::Event;
+use crate::place::Place;
 use crate::port::{Envelope, Head, Outgoing, Platform};
+use crate::refusal::{Denial, Refusal};
 use crate::state::Shared;
 
 /// Part of the objective that a request may wait at this entry for a free slot.
@@ -77,17 +78,6 @@
     pub(crate) knowledge: (u64, Duration),
 }
 
-/// A target that a request was given to, counted there until the end.
-pub(crate) struct Place<P> {
-    shared: Arc<Shared<P>>,
-    /// The target.
-    pub(crate) key: Key,
-    /// The target as it was listed.
-    pub(crate) target: Target,
-    prompt: u64,
-    ended: bool,
-}
-
 /// When the pieces of an answer came.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Times {
@@ -97,111 +87,6 @@
     pub(crate) pause: Duration,
 }
 
-/// Why a request got no target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Denial {
-    /// All targets are busy.
-    Busy(Duration),
-    /// There is no target.
-    Nothing,
-    /// Its time is over.
-    Late,
-    /// The budget of repeats is spent.
-    Budget,
-}
-
-/// A refusal by this entry.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Refusal {
-    /// Status of the answer.
-    pub(crate) status: StatusCode,
-    /// Why, for the log.
-    pub(crate) reason: &'static str,
-    /// When to come back.
-    pub(crate) after: Option<Duration>,
-}
-
-impl Refusal {
-    /// A refusal that tells no time to come back.
-    pub(crate) const fn new(status: StatusCode, reason: &'static str) -> Refusal {
-        Refusal { status, reason, after: None }
-    }
-
-    /// A refusal of a request that has not run and may come back.
-    pub(crate) const fn later(reason: &'static str, after: Duration) -> Refusal {
-        Refusal { status: StatusCode::SERVICE_UNAVAILABLE, reason, after: Some(after) }
-    }
-
-    /// The answer to the caller.
-    pub(crate) fn answer(&self) -> Response<Answer> {
-        let mut response = Response::new(Answer::whole(Bytes::new()));
-        *response.status_mut() = self.status;
-        if let Some(after) = self.after {
-            let text = format!("{:.3}", after.as_secs_f64());
-            if let Ok(value) = text.parse() {
-                response.headers_mut().insert(header::RETRY_AFTER, value);
-            }
-        }
-        response
-    }
-}
-
-/// Where a request goes, as far as the head tells.
-pub(crate) struct Way {
-    /// Its route.
-    pub(crate) route: Arc<Route>,
-    /// Its service.
-    pub(crate) service: Arc<Service>,
-    /// The workspace on whose behalf it is made.
-    pub(crate) workspace: Option<Arc<str>>,
-    /// Version of the configuration, and its age.
-    pub(crate) knowledge: (u64, Duration),
-}
-
-/// Finds a request's way, or why it has none.
-///
-/// # Errors
-///
-/// Refuses what no route or key allows, and what can't be decided by what is known now.
-pub(crate) fn way<P: Platform>(
-    shared: &Shared<P>,
-    head: &Head,
-    path: &str,
-) -> Result<Way, Refusal> {
-    let (table, known) = {
-        let knowledge = shared.knowledge();
-        (knowledge.table.clone(), knowledge.config_at)
-    };
-    let soon = Duration::from_millis(500);
-    let Some(known) = known.filter(|_| table.version() > 0) else {
-        return Err(Refusal::later("no configuration yet", soon));
-    };
-    let age = shared.now().since(known);
-    let bounds = &shared.settings().bounds;
-    let Some(route) = table.route(&head.host, path) else {
-        return Err(match age < bounds.config_age() {
-            true => Refusal::new(StatusCode::NOT_FOUND, "no such route"),
-            false => Refusal::later("routes are not known for sure", soon),
-        });
-    };
-    let holder = table.holder(route, head.key.as_deref());
-    if !matches!(holder, Holder::Anyone) && age >= bounds.key_age() {
-        return Err(Refusal::later("keys are not known for sure", soon));
-    }
-    let workspace = match holder {
-        Holder::Anyone => None,
-        Holder::Workspace(workspace) => Some(workspace.name.clone()),
-        Holder::Unknown => return Err(Refusal::new(StatusCode::UNAUTHORIZED, "unknown key")),
-    };
-    let service = service(&table, route).ok_or(Refusal::later("no such service", soon))?;
-    let route = route.clone();
-    Ok(Way { route, service, workspace, knowledge: (table.version(), age) })
-}
-
-fn service(table: &Table, route: &Route) -> Option<Arc<Service>> {
-    table.service(route, rand::rng().random()).cloned()
-}
-
 impl<P: Platform> Job<P> {
     /// Whether the request may be sent to one more target.
     pub(crate) fn may_repeat(&self) -> bool {
@@ -262,8 +147,7 @@
                 }
                 self.shared.loaded.notify_one();
                 let target = target.ok_or(Denial::Nothing)?;
-                let shared = self.shared.clone();
-                Ok(Place { shared, key, target, prompt: ask.prompt, ended: false })
+                Ok(Place::new(self.shared.clone(), key, target, ask.prompt))
             }
             Choice::Busy(after) => Err(Denial::Busy(after)),
             Choice::None => Err(Denial::Nothing),
@@ -371,45 +255,6 @@
     }
 }
 
-impl<P> Place<P> {
-    /// Notes the first token.
-    pub(crate) fn first(&mut self) {
-        let prompt = std::mem::take(&mut self.prompt);
-        if prompt > 0 {
-            self.shared.balance().first(self.key, prompt);
-            self.shared.loaded.notify_one();
-        }
-    }
-
-    /// Notes a sign of life.
-    pub(crate) fn hear(&self) {
-        let now = self.shared.now();
-        self.shared.balance().hear(now, self.key);
-    }
-
-    /// Notes how it ended.
-    pub(crate) fn end(mut self, end: End) {
-        self.finish(end);
-    }
-
-    fn finish(&mut self, end: End) {
-        if std::mem::replace(&mut self.ended, true) {
-            return;
-        }
-        let now = self.shared.now();
-        self.shared.balance().end(now, self.key, self.prompt, end);
-        self.shared.freed.notify_one();
-        self.shared.loaded.notify_one();
-    }
-}
-
-impl<P> Drop for Place<P> {
-    /// A request that is dropped was left by its caller.
-    fn drop(&mut self) {
-        self.finish(End::Left);
-    }
-}
-
 /// Removes the headers that concern one connection only.
 pub(crate) fn strip(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -14,9 +14,11 @@
 use crate::call;
 use crate::error::Call;
 use crate::journal::Event;
+use crate::place::Place;
 use crate::pool::{Channel, Reply};
 use crate::port::{Platform, Run};
-use crate::request::{Denial, Job, Place, Refusal, Times, strip};
+use crate::refusal::{Denial, Refusal};
+use crate::request::{Job, Times, strip};
 use crate::splitter::Splitter;
 
 /// Pieces of a stream that wait for a slow caller.
--- /dev/null
+++ b/gateway/src/way.rs
@@ -0,0 +1,69 @@
+//! Where a request goes, by its head and the configuration.
+
+use std::sync::Arc;
+
+use decision::gateway::config::{Route, Service};
+use decision::gateway::route::{Holder, Table};
+use decision::prelude::*;
+use http::StatusCode;
+use rand::RngExt as _;
+
+use crate::port::{Head, Platform};
+use crate::refusal::Refusal;
+use crate::state::Shared;
+
+/// Where a request goes, as far as the head tells.
+pub(crate) struct Way {
+    /// Its route.
+    pub(crate) route: Arc<Route>,
+    /// Its service.
+    pub(crate) service: Arc<Service>,
+    /// The workspace on whose behalf it is made.
+    pub(crate) workspace: Option<Arc<str>>,
+    /// Version of the configuration, and its age.
+    pub(crate) knowledge: (u64, Duration),
+}
+
+/// Finds a request's way, or why it has none.
+///
+/// # Errors
+///
+/// Refuses what no route or key allows, and what can't be decided by what is known now.
+pub(crate) fn way<P: Platform>(
+    shared: &Shared<P>,
+    head: &Head,
+    path: &str,
+) -> Result<Way, Refusal> {
+    let (table, known) = {
+        let knowledge = shared.knowledge();
+        (knowledge.table.clone(), knowledge.config_at)
+    };
+    let soon = Duration::from_millis(500);
+    let Some(known) = known.filter(|_| table.version() > 0) else {
+        return Err(Refusal::later("no configuration yet", soon));
+    };
+    let age = shared.now().since(known);
+    let bounds = &shared.settings().bounds;
+    let Some(route) = table.route(&head.host, path) else {
+        return Err(match age < bounds.config_age() {
+            true => Refusal::new(StatusCode::NOT_FOUND, "no such route"),
+            false => Refusal::later("routes are not known for sure", soon),
+        });
+    };
+    let holder = table.holder(route, head.key.as_deref());
+    if !matches!(holder, Holder::Anyone) && age >= bounds.key_age() {
+        return Err(Refusal::later("keys are not known for sure", soon));
+    }
+    let workspace = match holder {
+        Holder::Anyone => None,
+        Holder::Workspace(workspace) => Some(workspace.name.clone()),
+        Holder::Unknown => return Err(Refusal::new(StatusCode::UNAUTHORIZED, "unknown key")),
+    };
+    let service = service(&table, route).ok_or(Refusal::later("no such service", soon))?;
+    let route = route.clone();
+    Ok(Way { route, service, workspace, knowledge: (table.version(), age) })
+}
+
+fn service(table: &Table, route: &Route) -> Option<Arc<Service>> {
+    table.service(route, rand::rng().random()).cloned()
+}
