--- a/decision/tests/gateway/formation.rs
+++ b/decision/tests/gateway/formation.rs
@@ -15,11 +15,11 @@
     world
 }
 
-fn head(world: &World) -> Arc<str> {
+pub(crate) fn head(world: &World) -> Arc<str> {
     world.members()[0].clone()
 }
 
-fn last(world: &World) -> Arc<str> {
+pub(crate) fn last(world: &World) -> Arc<str> {
     let members = world.members();
     members[members.len() - 1].clone()
 }
--- a/decision/tests/gateway/owners.rs
+++ b/decision/tests/gateway/owners.rs
@@ -7,7 +7,7 @@
 use rand_pcg::rand_core::SeedableRng;
 use rstest::rstest;
 
-use crate::formation::formed;
+use crate::formation::{formed, head};
 use crate::world::{Manner, World};
 
 /// Days of one kind of site.
@@ -61,3 +61,42 @@
         _ => ids.iter().for_each(|it| world.hide(it, false)),
     }
 }
+
+/// All instances of the first fabric domain start anew.
+fn start_anew(world: &mut World) {
+    let ids: Vec<Arc<str>> = world.hosts.keys().cloned().collect();
+    ids.iter().filter(|it| it.starts_with("i0-")).for_each(|it| world.restart(it));
+}
+
+/// The first fabric domain starts anew, and runs until a replica there is ready to be opened.
+fn ready_again(world: &mut World) -> Arc<str> {
+    start_anew(world);
+    for _ in 0..200 {
+        let ready = world.ready_heads();
+        if let Some(head) = ready.first() {
+            return head.clone();
+        }
+        world.run(50);
+    }
+    unreachable!("no replica was formed")
+}
+
+#[test]
+fn a_head_that_refuses_to_leave_while_it_closes_is_not_taken() {
+    let mut world = formed(1);
+    let head = head(&world);
+    world.manner = Manner { refusal: 1.0, closing: 6_000..=6_000, ..Manner::default() };
+    world.drain(&head);
+    world.run(10_000);
+}
+
+#[test]
+fn a_head_that_refuses_to_leave_while_it_opens_is_not_taken() {
+    let mut world = formed(1);
+    world.manner.refusal = 1.0;
+    let head = ready_again(&mut world);
+    let member = world.hosts[&head].members[1].clone();
+    world.run(150);
+    world.restart(&member);
+    world.run(10_000);
+}
--- a/decision/tests/gateway/world.rs
+++ b/decision/tests/gateway/world.rs
@@ -269,6 +269,13 @@
         members.into_iter().map(|(_, id)| id).collect()
     }
 
+    /// Heads that are ready to be opened.
+    pub(crate) fn ready_heads(&self) -> Vec<Arc<str>> {
+        let heads = self.hosts.values().filter(|it| it.members.len() > 1 && it.is_head());
+        let ready = heads.filter(|it| it.state() == Some(State::Ready));
+        ready.map(|it| it.instance.id.clone()).collect()
+    }
+
     fn is_whole(&self, head: &Host) -> bool {
         head.members.iter().all(|id| {
             let member = self.hosts.get(id);
--- a/decision/tests/gateway/world/host.rs
+++ b/decision/tests/gateway/world/host.rs
@@ -16,7 +16,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Host {
     pub(crate) instance: Instance,
-    pub(super) members: Vec<Arc<str>>,
+    pub(crate) members: Vec<Arc<str>>,
     /// The order that it carries out, and until when.
     doing: Option<(Doing, u64)>,
     pub(super) dead: bool,
