Show that a head which an older owner opens is taken for another replica

It can't take the replica over, which isn't full, and counts its head as free, since it is listed as ready with rank 0. The head opens 300 ms after the first owner's order and is taken by the second one's join 600 ms after it. No `leave` is ordered, and a head that checks fencing tokens is no help: the older order came first. The owner repeats the join at a time at which its list shows the head as open.

--- a/decision/tests/gateway/owners.rs
+++ b/decision/tests/gateway/owners.rs
@@ -100,3 +100,17 @@
     world.restart(&member);
     world.run(10_000);
 }
+
+#[test]
+fn a_head_that_an_older_owner_opens_is_not_taken() {
+    let mut world = formed(1);
+    let head = ready_again(&mut world);
+    let member = world.hosts[&head].members[1].clone();
+    world.manner.travel = 300..=300;
+    world.run(150);
+    world.restart(&member);
+    world.run(50);
+    world.manner.travel = 800..=800;
+    world.elect(0);
+    world.run(2_000);
+}
