Show that an owner opens one replica and forms another of the same instances

A new owner lists the instances a moment before they take the joins of the owner before it, and forms replicas of the same ones. If its own joins are refused or late, the older replica becomes ready and is adopted although its instances belong to the one that is being formed. From then on the owner orders `open` of one and `join` of the other, in each turn: each replaces the other in `Formation::sent`, so that `Settings::repeat` doesn't hold either (50 ms apart here).

--- a/decision/tests/gateway/owners.rs
+++ b/decision/tests/gateway/owners.rs
@@ -114,3 +114,30 @@
     world.elect(0);
     world.run(2_000);
 }
+
+/// A new owner that listed the instances before they took the joins of the owner before it, and
+/// whose own joins are refused or come late.
+fn overtaken(refusal: f64, lost_share: f64) -> World {
+    let mut world = formed(1);
+    start_anew(&mut world);
+    world.run(150);
+    world.manner = Manner { travel: 100..=100, refusal, ..Manner::default() };
+    world.run(50);
+    world.lost_share = lost_share;
+    world.elect(0);
+    world.run(1_300);
+    world.lost_share = 0.0;
+    world.run(5_000);
+    world
+}
+
+#[test]
+fn a_head_that_its_owner_opens_is_not_taken_by_it() {
+    overtaken(1.0, 0.0);
+}
+
+#[test]
+fn an_owner_orders_an_instance_for_one_replica_at_a_time() {
+    let world = overtaken(0.0, 1.0);
+    assert_eq!(world.torn, []);
+}
--- a/decision/tests/gateway/world.rs
+++ b/decision/tests/gateway/world.rs
@@ -57,6 +57,8 @@
     pub(crate) lost_share: f64,
     /// When loads were ordered.
     pub(crate) loads: Vec<u64>,
+    /// Instances that one owner ordered for several replicas in one turn, and when.
+    pub(crate) torn: Vec<(u64, Arc<str>)>,
     engine: Engine,
     /// What the list showed, and when.
     views: VecDeque<(u64, Vec<Instance>)>,
@@ -111,6 +113,7 @@
             manner,
             lost_share: 0.0,
             loads: Vec::new(),
+            torn: Vec::new(),
             engine: engine(),
             views: VecDeque::new(),
             fence: 1,
@@ -257,6 +260,13 @@
         self.hosts.get(id).is_some_and(|it| it.state() == Some(State::Open))
     }
 
+    /// Heads that are ready to be opened.
+    pub(crate) fn ready_heads(&self) -> Vec<Arc<str>> {
+        let heads = self.hosts.values().filter(|it| it.members.len() > 1 && it.is_head());
+        let ready = heads.filter(|it| it.state() == Some(State::Ready));
+        ready.map(|it| it.instance.id.clone()).collect()
+    }
+
     /// Identifiers of all members of replicas, heads first.
     pub(crate) fn members(&self) -> Vec<Arc<str>> {
         let mut members: Vec<_> = self
@@ -269,13 +279,6 @@
         members.into_iter().map(|(_, id)| id).collect()
     }
 
-    /// Heads that are ready to be opened.
-    pub(crate) fn ready_heads(&self) -> Vec<Arc<str>> {
-        let heads = self.hosts.values().filter(|it| it.members.len() > 1 && it.is_head());
-        let ready = heads.filter(|it| it.state() == Some(State::Ready));
-        ready.map(|it| it.instance.id.clone()).collect()
-    }
-
     fn is_whole(&self, head: &Host) -> bool {
         head.members.iter().all(|id| {
             let member = self.hosts.get(id);
@@ -336,6 +339,8 @@
             }
             let wishes = owner.plan(now, &self.engine, self.free_loads);
             let fence = owner.fence;
+            let torn = wishes.torn().into_iter().map(|it| (now, it));
+            self.torn.extend(torn);
             for (action, born) in wishes.orders {
                 self.send(fence, action, born);
             }
--- a/decision/tests/gateway/world/owner.rs
+++ b/decision/tests/gateway/world/owner.rs
@@ -61,6 +61,23 @@
     pub(super) questions: Vec<(Arc<str>, u64)>,
 }
 
+impl Wishes {
+    /// Instances that are ordered for several replicas. Who leaves one may join another.
+    pub(super) fn torn(&self) -> Vec<Arc<str>> {
+        let mut groups: HashMap<&Arc<str>, &Arc<str>> = HashMap::new();
+        let mut torn = Vec::new();
+        for (action, _) in &self.orders {
+            let (Order::Join { group, .. } | Order::Open { group, .. }) = &action.order else {
+                continue;
+            };
+            if groups.insert(&action.id, group).is_some_and(|it| it != group) {
+                torn.push(action.id.clone());
+            }
+        }
+        torn
+    }
+}
+
 impl Owner {
     /// An owner that takes over, knowing `fleet`.
     pub(super) fn new(fence: u64, now: u64, fleet: Fleet, lag: u64) -> Owner {
