Show that older news of a head which serves cost its members

The owner sees a head without a replica: `end_head` takes that for a departure, drops the replica without an order, and its members are ordered to join another one while the head serves. What the head itself would report can't be told from its members: they say truly that they are members of the old replica.

Whether the gateway lets older news replace the list's is a question to its own tests, not to this one.

--- a/decision/tests/gateway/owners.rs
+++ b/decision/tests/gateway/owners.rs
@@ -7,7 +7,7 @@
 use rand_pcg::rand_core::SeedableRng;
 use rstest::rstest;
 
-use crate::formation::{formed, head};
+use crate::formation::{formed, head, last};
 use crate::world::{Manner, World};
 
 /// Days of one kind of site.
@@ -141,3 +141,14 @@
     let world = overtaken(0.0, 1.0);
     assert_eq!(world.torn, []);
 }
+
+/// The news of its join came before the list that the owner read, and was taken after it.
+#[test]
+fn a_head_that_older_news_show_as_free_is_not_taken() {
+    let mut world = formed(1);
+    let (head, member) = (head(&world), last(&world));
+    world.elect(0);
+    world.mislead(&head);
+    world.restart(&member);
+    world.run(10_000);
+}
--- a/decision/tests/gateway/world.rs
+++ b/decision/tests/gateway/world.rs
@@ -186,6 +186,15 @@
         self.push(ALIVE + VACANT, Event::Elect);
     }
 
+    /// The owner takes older news of an instance for the latest, until there are others.
+    pub(crate) fn mislead(&mut self, id: &str) {
+        let Some(host) = self.hosts.get(id) else { return };
+        let older = Instance { member: None, model: None, ..host.instance.clone() };
+        if let Some(owner) = self.owners.last_mut() {
+            owner.mislead(older, host.instance.clone());
+        }
+    }
+
     pub(crate) fn kill(&mut self, id: &str) {
         if let Some(host) = self.hosts.get_mut(id) {
             host.dead = true;
--- a/decision/tests/gateway/world/owner.rs
+++ b/decision/tests/gateway/world/owner.rs
@@ -33,6 +33,8 @@
     pub(super) lag: u64,
     /// When what it knows of the list was true.
     seen: u64,
+    /// Older news that it takes for the latest, and the news that it missed by that.
+    misled: HashMap<Arc<str>, (Instance, Instance)>,
     /// When it gives up.
     pub(super) ends: Option<u64>,
     /// Until when it does nothing.
@@ -91,6 +93,7 @@
             formation,
             lag,
             seen: 0,
+            misled: HashMap::new(),
             ends: None,
             asleep: None,
             probes: HashMap::new(),
@@ -101,10 +104,19 @@
     pub(super) fn read(&mut self, now: u64, time: u64, view: &[Instance]) {
         if time > self.seen {
             self.seen = time;
-            self.fleet.list(at(now), view.iter().cloned());
+            let seen = |it: &Instance| match self.misled.get(&it.id) {
+                Some((older, missed)) if missed == it => older.clone(),
+                _ => it.clone(),
+            };
+            self.fleet.list(at(now), view.iter().map(seen));
         }
     }
 
+    /// Takes older news of an instance for the latest.
+    pub(super) fn mislead(&mut self, older: Instance, missed: Instance) {
+        self.misled.insert(older.id.clone(), (older, missed));
+    }
+
     /// The orders and questions of one turn.
     pub(super) fn plan(&mut self, now: u64, engine: &Engine, free_loads: bool) -> Wishes {
         let now = at(now);
