Log each step of a replica with its cause, and the age of the list behind each order

Neither an order's line nor any other told whether the replica before had been taken over, why it was ended, or how old the list was.

Now the owner writes a line for each step of a replica (adopted, formed, whole, ending, resumed, over) with the instance and the reason, and each order carries the age of the list. No decision changes: the life of a replica is only split into taking over, life and end, the order to leave is built in one place, and what was a bool (lost or not) is a cause.

Ruled out as the place for it: a line for each plan; an owner plans ten times a second.

--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -4,6 +4,9 @@
 //! is level-triggered: an order that had no effect is sent again, and one that has its effect
 //! late does no harm, since each replica has an epoch of its own and later epochs go first.
 
+mod adopt;
+mod change;
+mod ending;
 mod life;
 mod order;
 mod staging;
@@ -14,6 +17,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
+pub use change::{Cause, Change, Reason, Step};
 pub use order::{Action, Close, Order};
 
 use crate::gateway::engine::Engine;
@@ -91,6 +95,7 @@
     used_up: Option<Time>,
     known: usize,
     grown: Time,
+    changes: Vec<Change>,
 }
 
 type Key = (Arc<str>, u64);
@@ -180,6 +185,7 @@
             used_up: None,
             known: 0,
             grown: Time::ZERO,
+            changes: Vec::new(),
         }
     }
 
@@ -281,6 +287,16 @@
         actions
     }
 
+    /// What has become of replicas since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    fn note(&mut self, key: &Key, model: &Arc<str>, step: Step) {
+        let (group, epoch) = key.clone();
+        self.changes.push(Change { group, epoch, model: model.clone(), step });
+    }
+
     /// Drops what has lapsed, and brings up to date which entries are gone.
     fn forget(&mut self, now: Time, all: &Instances<'_>) {
         self.dead.retain(|_, it| it.until > now);
@@ -340,19 +356,28 @@
         self.is_reachable(now, all, id) && all.recall(id).is_some_and(|it| it.born == born)
     }
 
-    /// Whether a member is where it was, alive, and doesn't leave. A member may be cut off from
-    /// the list for a while if `least` says so.
-    fn is_sound(
+    /// What is the matter with a member, if it isn't where it was, alive, and stays. It may be cut
+    /// off from the list for a while if `least` says so.
+    fn fault(
         &self,
         now: Time,
         all: &Instances<'_>,
         id: &str,
         born: u64,
         least: Presence,
-    ) -> bool {
-        let listed = all.get(id).is_some_and(|it| it.phase == Phase::Ready);
-        let departed = least == Presence::Departed && all.get(id).is_none();
-        (listed || departed) && self.is_present(now, all, id, born)
+    ) -> Option<Reason> {
+        let Some(instance) = all.recall(id) else { return Some(Reason::NotListed) };
+        if instance.born != born {
+            return Some(Reason::Restarted);
+        }
+        if !self.is_reachable(now, all, id) {
+            return Some(Reason::Unreachable);
+        }
+        match all.get(id) {
+            None if least == Presence::Listed => Some(Reason::NotListed),
+            Some(it) if it.phase == Phase::Draining => Some(Reason::Leaves),
+            _ => None,
+        }
     }
 
     /// What is known of `id` as a member of the replica `key`.
--- a/decision/src/gateway/formation/order.rs
+++ b/decision/src/gateway/formation/order.rs
@@ -47,6 +47,12 @@
     },
 }
 
+impl Order {
+    pub(super) fn leave((group, epoch): &(Arc<str>, u64)) -> Order {
+        Order::Leave { group: group.clone(), epoch: *epoch }
+    }
+}
+
 /// What becomes of the requests of a head that stops serving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Close {
--- a/decision/src/gateway/formation/supply.rs
+++ b/decision/src/gateway/formation/supply.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
+use super::change::{Reason, Step};
 use super::order::{Action, Order};
 use super::view::{Instances, has, staged};
 use super::weight::{FAR_AHEAD, cost, is_in_the_way, last_cost};
@@ -42,8 +43,8 @@
                 && !left(member)
                 && (member.rank > 0 || matches!(member.state, State::Open | State::Closing))
             {
-                let (group, epoch) = (member.group.clone(), member.epoch);
-                strays.push((instance.id.clone(), Order::Leave { group, epoch }));
+                let key = (member.group.clone(), member.epoch);
+                strays.push((instance.id.clone(), Order::leave(&key)));
                 continue;
             }
             free.entry(fabric.clone()).or_default().push(instance);
@@ -165,7 +166,9 @@
             gone: HashSet::new(),
             stage: Stage::Forming,
         };
-        self.groups.insert((group, epoch), formed);
+        let key = (group, epoch);
+        self.note(&key, &model.name, Step::Formed);
+        self.groups.insert(key, formed);
     }
 
     /// Ends a replica of a model that is far ahead, where its instances would complete one of the
@@ -195,14 +198,16 @@
             if !long || self.is_hasty(all, fabric) || self.is_served(all, fabric, missed) {
                 continue;
             }
-            let group = self.groups.values_mut().find(|it| {
+            let group = self.groups.iter_mut().find(|(_, it)| {
                 let size = ahead(it).filter(|_| it.is_in(all, fabric));
                 size.is_some_and(|size| {
                     instances.len() < missed.size && instances.len() + size >= missed.size
                 })
             });
-            if let Some(group) = group {
-                return group.give_way(now);
+            if let Some((key, group)) = group {
+                group.give_way(now);
+                let (key, model) = (key.clone(), group.model.clone());
+                return self.note(&key, &model, Step::Ending(Reason::GivesWay.into()));
             }
         }
     }
--- a/gateway/src/journal.rs
+++ b/gateway/src/journal.rs
@@ -88,7 +88,24 @@
     /// The lease on the replicas was lost or given up.
     Yielded { fence: u64, reason: &'a str },
     /// An order was given to an instance.
-    Ordered { instance: &'a str, order: &'a str, group: &'a str, fence: u64, result: &'a str },
+    Ordered {
+        instance: &'a str,
+        order: &'a str,
+        group: &'a str,
+        fence: u64,
+        list_age_ms: u64,
+        result: &'a str,
+    },
+    /// A replica has come a step further, as its owner sees it.
+    Replica {
+        service: &'a str,
+        model: &'a str,
+        group: &'a str,
+        step: &'a str,
+        instance: &'a str,
+        reason: &'a str,
+        fence: u64,
+    },
     /// Objects of other writers can't be read.
     Unreadable { kind: Kind, count: usize },
     /// Lines were dropped since the last such line.
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -237,6 +237,7 @@
             let of = instances.iter().filter(|(it, _)| it.service == service.name);
             let actions = formation.plan(now, engine, of.map(|(it, presence)| (&**it, *presence)));
             doubtful.extend(formation.doubtful());
+            tell(&self.shared, &service.name, formation);
             for action in actions {
                 let born = instances.iter().find(|(it, _)| it.id == action.id);
                 let born = born.map(|(it, _)| it.born);
@@ -300,6 +301,7 @@
 
     fn order(&self, fence: u64, action: Action, born: u64) {
         let (shared, results) = (self.shared.clone(), self.results.clone());
+        let list_age_ms = self.list_age();
         tokio::spawn(async move {
             let Action { id, address, order } = action;
             let request = shared.platform.order(address, &id, &order, fence);
@@ -311,15 +313,27 @@
                 Err(error) => error.to_string(),
             };
             let (name, group) = describe(&order);
-            let event =
-                Event::Ordered { instance: &id, order: name, group, fence, result: &result };
-            shared.journal.note(&event);
+            shared.journal.note(&Event::Ordered {
+                instance: &id,
+                order: name,
+                group,
+                fence,
+                list_age_ms,
+                result: &result,
+            });
             let result = Result::Order { id: id.clone(), born, order, taken, connected };
             // Without a receiver the process ends.
             let _sent = results.send(result).await;
         });
     }
 
+    /// Milliseconds since the list of instances was known to hold.
+    fn list_age(&self) -> u64 {
+        let known = self.shared.knowledge().fleet_at.unwrap_or(Time::ZERO);
+        let age = self.shared.now().since(known);
+        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+    }
+
     fn take(&mut self, result: Result) {
         let now = self.shared.now();
         match result {
@@ -368,6 +382,23 @@
     }
 }
 
+/// Writes what has become of the replicas of a service.
+fn tell<P>(shared: &Shared<P>, service: &str, formation: &mut Formation) {
+    let fence = formation.fence();
+    for change in formation.take_changes() {
+        let cause = change.step.cause();
+        shared.journal.note(&Event::Replica {
+            service,
+            model: &change.model,
+            group: &change.group,
+            step: change.step.name(),
+            instance: cause.and_then(|it| it.instance.as_deref()).unwrap_or_default(),
+            reason: cause.map(|it| it.reason.name()).unwrap_or_default(),
+            fence,
+        });
+    }
+}
+
 fn describe(order: &Order) -> (&'static str, &str) {
     match order {
         Order::Join { group, .. } => ("join", group),
