Take an instance for a replica only if it says itself that it is free, and has not moved since

Cause, of the class check-then-act: an owner decides on the list, which is late by the heartbeat's way through the store and, after a change of owners, by what the last owner had still on its way. An order to join replaces whatever the instance is a member of by then. A head that the list shows as ready, whose replica can't be taken over since a member is missing, counted as free; opened in between, it was taken from its own replica while it served.

Now a join has a premise: the start of the instance, the replica that it may still be a member of, the one that it is to join. The owner asks the instance first and withholds the order if the premise is false; the order carries the count of orders that the instance told, so that it is refused if it took any other meanwhile. An instance that is not what it was taken for is left alone for 1.5 s and the replica that was to use it is given up. The same holds for a join that is carried out seconds late.

Ruled out: trusting the fencing token alone (it refuses older owners only, and not on all sites); waiting for the list to catch up (a head cut off from the store never shows in it); an order to leave before each join (one more order for each member, and it ends what serves).

Cost: one question for each order to join.

--- a/decision/src/gateway/fleet.rs
+++ b/decision/src/gateway/fleet.rs
@@ -58,6 +58,8 @@
     pub model: Option<Arc<str>>,
     /// The replica that it is a member of.
     pub member: Option<Member>,
+    /// Orders that it has taken since its start, if it counts them.
+    pub orders: Option<u64>,
 }
 
 /// A place in a replica.
@@ -189,7 +191,7 @@
     /// Takes what an instance said of itself whose entry is gone, since the list can't say it.
     pub fn observe(&mut self, id: &str, report: Report) {
         let Some((_, instance)) = self.departed.get_mut(id) else { return };
-        let Report { born, staged, model, member } = report;
+        let Report { born, staged, model, member, orders: _ } = report;
         *instance = Arc::new(Instance { born, staged, model, member, ..(**instance).clone() });
         self.changes += 1;
     }
--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 
 pub use change::{Cause, Change, Reason, Step};
-pub use order::{Action, Close, Order};
+pub use order::{Action, Close, Order, Premise, Taken};
 
 use crate::gateway::engine::Engine;
 use crate::gateway::fleet::{Instance, Phase, Presence, State};
@@ -55,6 +55,8 @@
     /// Time after which a member that said it has left is believed no more, if the list shows
     /// something else.
     pub left: Duration,
+    /// Time for which an instance is left alone that is not what it was taken for.
+    pub contested: Duration,
     /// Time for which a dead instance is left alone before it counts as living again.
     pub dead: Duration,
 }
@@ -81,6 +83,8 @@
     dead: HashMap<Arc<str>, Dead>,
     /// Instances that answered, and when.
     vouched: HashMap<Arc<str>, Dead>,
+    /// Instances that are not what they were taken for, and until when that counts.
+    contested: HashMap<Arc<str>, Dead>,
     /// Members that said they have left, before the list shows it.
     left: HashMap<(Arc<str>, Key), Time>,
     loads: VecDeque<Time>,
@@ -159,6 +163,7 @@
             settle: Duration::from_millis(400),
             vouched: Duration::from_millis(2_000),
             left: Duration::from_millis(1_500),
+            contested: Duration::from_millis(1_500),
             dead: Duration::from_secs(4),
         }
     }
@@ -175,6 +180,7 @@
             sent: HashMap::new(),
             dead: HashMap::new(),
             vouched: HashMap::new(),
+            contested: HashMap::new(),
             left: HashMap::new(),
             loads: VecDeque::new(),
             loading: HashMap::new(),
@@ -218,13 +224,29 @@
         self.vouched.insert(id.clone(), Dead { until, born });
     }
 
-    /// Notes that an instance took an order, or had nothing to do for it.
-    pub fn done(&mut self, now: Time, id: &Arc<str>, order: &Order) {
-        if let Order::Leave { group, epoch } = order {
-            self.left.insert((id.clone(), (group.clone(), *epoch)), now);
+    /// Notes what an instance said to an order. `born` is the start of it that was meant.
+    pub fn answered(&mut self, now: Time, id: &Arc<str>, born: u64, order: &Order, taken: Taken) {
+        match taken {
+            Taken::Yes | Taken::Conflict => {
+                self.found(now, id, born);
+                if let Order::Leave { group, epoch } = order {
+                    self.left.insert((id.clone(), (group.clone(), *epoch)), now);
+                }
+                if taken == Taken::Conflict && matches!(order, Order::Join { .. }) {
+                    self.contested(now, id, born);
+                }
+            }
+            Taken::Fenced | Taken::Misdirected | Taken::No => self.refused(id),
         }
     }
 
+    /// Notes that an instance is not what the plan took it for. It is left alone until the list
+    /// has had time to show what it is.
+    pub fn contested(&mut self, now: Time, id: &Arc<str>, born: u64) {
+        let until = now + self.settings.contested;
+        self.contested.insert(id.clone(), Dead { until, born });
+    }
+
     /// Instances whose entries are gone, and who are asked whether they live: members of replicas
     /// often, the others now and then.
     pub fn doubtful(&self) -> Vec<(Arc<str>, Doubt)> {
@@ -248,7 +270,7 @@
     }
 
     /// Notes that an order was refused, so that it isn't waited for.
-    pub fn refused(&mut self, id: &str) {
+    fn refused(&mut self, id: &str) {
         if let Some(sent) = self.sent.get_mut(id) {
             // Allows the next order at the next plan, but not the same one at once.
             sent.at = sent.at.back(self.settings.repeat / 2);
@@ -301,6 +323,7 @@
     fn forget(&mut self, now: Time, all: &Instances<'_>) {
         self.dead.retain(|_, it| it.until > now);
         self.vouched.retain(|_, it| it.until > now);
+        self.contested.retain(|_, it| it.until > now);
         let left = self.settings.left;
         self.left.retain(|_, at| now.since(*at) < left);
         self.sent.retain(|id, _| all.recall(id).is_some());
@@ -339,7 +362,8 @@
             return;
         }
         self.sent.insert(id.clone(), Sent { at: now, order: order.clone() });
-        actions.push(Action { id: id.clone(), address: instance.address, order });
+        let premise = Premise::of(&order, instance);
+        actions.push(Action { id: id.clone(), address: instance.address, order, premise });
     }
 
     fn is_reachable(&self, now: Time, all: &Instances<'_>, id: &str) -> bool {
@@ -347,6 +371,10 @@
         !self.is_dead(now, instance) && (all.get(id).is_some() || self.is_vouched(instance))
     }
 
+    fn is_contested(&self, instance: &Instance) -> bool {
+        self.contested.get(&instance.id).is_some_and(|it| it.born == instance.born)
+    }
+
     fn is_vouched(&self, instance: &Instance) -> bool {
         self.vouched.get(&instance.id).is_some_and(|it| it.born == instance.born)
     }
--- a/decision/src/gateway/formation/change.rs
+++ b/decision/src/gateway/formation/change.rs
@@ -56,6 +56,8 @@
     NoMember,
     /// The head says that a member is lost.
     Broken,
+    /// It is not what it was taken for.
+    Contested,
     /// It took too long to form.
     Late,
     /// Its instances are wanted for another model.
@@ -113,6 +115,7 @@
             Reason::Leaves => "leaves",
             Reason::NoMember => "no member",
             Reason::Broken => "broken",
+            Reason::Contested => "not what it was taken for",
             Reason::Late => "not formed in time",
             Reason::GivesWay => "gives way to another model",
             Reason::HeadLeft => "the head has left",
--- a/decision/src/gateway/formation/life.rs
+++ b/decision/src/gateway/formation/life.rs
@@ -1,5 +1,7 @@
 //! The life of a replica until its end: formed, whole, lost.
 
+use std::sync::Arc;
+
 use super::change::{Cause, Reason, Step};
 use super::order::{Action, Order};
 use super::view::{Instances, has};
@@ -70,7 +72,14 @@
             return None;
         }
         let missing = group.members.iter().zip(&states).filter(|(_, it)| it.is_none());
-        for (id, _) in missing {
+        let missing: Vec<_> = missing.map(|(id, _)| id).collect();
+        let contested = |id: &&Arc<str>| all.recall(id).is_some_and(|it| self.is_contested(it));
+        if let Some(id) = missing.iter().copied().find(contested) {
+            let cause = Cause::of(id, Reason::Contested);
+            self.end(now, key, group, cause);
+            return None;
+        }
+        for id in missing {
             let order = Order::Join {
                 group: key.0.clone(),
                 epoch: key.1,
--- a/decision/src/gateway/formation/order.rs
+++ b/decision/src/gateway/formation/order.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::gateway::fleet::{Instance, Report, State};
+
 /// An order to one instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Order {
@@ -62,6 +64,21 @@
     Cut,
 }
 
+/// What an instance says to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It has begun, or it is done.
+    Yes,
+    /// It doesn't fit the instance's state. Nothing was done.
+    Conflict,
+    /// A later owner has given orders.
+    Fenced,
+    /// Another instance has the address.
+    Misdirected,
+    /// It is not understood, or the instance can't take it now.
+    No,
+}
+
 /// An order and the instance that it is for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Action {
@@ -71,4 +88,38 @@
     pub address: SocketAddr,
     /// What it shall do.
     pub order: Order,
+    /// What it must say of itself before it is given the order, if that matters. It must not have
+    /// taken another order since it said so.
+    pub premise: Option<Premise>,
+}
+
+/// What the plan took for granted of an instance that it uses for a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Premise {
+    /// The start of it.
+    pub born: u64,
+    /// The replica that it may still be a member of, since that serves no more.
+    pub was: Option<(Arc<str>, u64)>,
+    /// The replica that it is to join, which it may have done already.
+    pub joins: (Arc<str>, u64),
+}
+
+impl Premise {
+    /// What `order` takes for granted of an instance that looks like this. None if it only concerns
+    /// the replica that it names.
+    pub(super) fn of(order: &Order, instance: &Instance) -> Option<Premise> {
+        let Order::Join { group, epoch, .. } = order else { return None };
+        let was = instance.member.as_ref().map(|it| (it.group.clone(), it.epoch));
+        Some(Premise { born: instance.born, was, joins: (group.clone(), *epoch) })
+    }
+
+    /// Whether it is true by what the instance says now.
+    pub fn holds(&self, report: &Report) -> bool {
+        let Some(member) = &report.member else { return report.born == self.born };
+        let is_in =
+            |(group, epoch): &(Arc<str>, u64)| *group == member.group && *epoch == member.epoch;
+        let serves = matches!(member.state, State::Open | State::Closing);
+        let free = self.was.as_ref().is_some_and(is_in) && !serves;
+        report.born == self.born && (free || is_in(&self.joins))
+    }
 }
--- a/decision/src/gateway/formation/supply.rs
+++ b/decision/src/gateway/formation/supply.rs
@@ -29,7 +29,7 @@
         for (instance, presence) in all.known.values() {
             let Some(fabric) = &instance.fabric else { continue };
             let answers = *presence == Presence::Listed || self.is_vouched(instance);
-            let alive = answers && !self.is_dead(now, instance);
+            let alive = answers && !self.is_dead(now, instance) && !self.is_contested(instance);
             let usable = instance.phase == Phase::Ready && alive;
             if !usable || taken.contains(&*instance.id) {
                 continue;
--- a/decision/tests/gateway/main.rs
+++ b/decision/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod candidate;
 mod fleet;
 mod formation;
+mod premise;
 mod route;
 mod support;
 mod warmup;
--- a/decision/tests/gateway/world.rs
+++ b/decision/tests/gateway/world.rs
@@ -6,7 +6,7 @@
 
 use decision::gateway::engine::Engine;
 use decision::gateway::fleet::{Fleet, Instance, Member, Report, State};
-use decision::gateway::formation::{Close, Formation, Order, Settings};
+use decision::gateway::formation::{Action, Close, Formation, Order, Settings, Taken};
 use decision::prelude::*;
 use rand::RngExt as _;
 use rand_pcg::Pcg64Mcg;
@@ -43,6 +43,16 @@
     hidden: bool,
     broken_at: Option<u64>,
     fence: u64,
+    /// Orders that it has taken.
+    orders: u64,
+}
+
+/// An order that is carried out late, if the host has taken as many orders as then.
+struct Late {
+    at: u64,
+    action: Action,
+    fence: u64,
+    after: u64,
 }
 
 /// Instances, the list of them, and orders on their way.
@@ -53,7 +63,7 @@
     views: VecDeque<(u64, Vec<Instance>)>,
     fleet: Fleet,
     formation: Formation,
-    late: Vec<(u64, Arc<str>, Order, u64)>,
+    late: Vec<Late>,
     ready: BTreeSet<(Key, Arc<str>)>,
     random: Pcg64Mcg,
     pub(crate) lost_share: f64,
@@ -198,9 +208,12 @@
 
     fn step(&mut self) {
         self.settle();
-        let due: Vec<_> = self.late.extract_if(.., |it| it.0 <= self.now).collect();
-        for (_, id, order, fence) in due {
-            self.carry_out(&id, &order, fence);
+        let due: Vec<_> = self.late.extract_if(.., |it| it.at <= self.now).collect();
+        for Late { action, fence, after, .. } in due {
+            let orders = self.hosts.get(&action.id).map(|it| it.orders);
+            if action.premise.is_none() || orders == Some(after) {
+                self.carry_out(&action.id, &action.order, fence);
+            }
         }
         self.list();
         let now = at(self.now);
@@ -217,18 +230,27 @@
             let fence = self.formation.fence();
             let born = survey.iter().find(|(it, _)| it.id == action.id).map(|(it, _)| it.born);
             let born = born.unwrap_or_default();
-            if self.hosts.get(&action.id).is_none_or(|it| it.dead || it.hidden) {
-                self.formation.lost(now, &action.id, born);
-            } else if self.random.random_bool(self.lost_share) {
-                let delay = self.random.random_range(2_000..6_000);
-                self.late.push((self.now + delay, action.id, action.order, fence));
-            } else if self.carry_out(&action.id, &action.order, fence) {
-                self.formation.found(now, &action.id, born);
-                self.formation.done(now, &action.id, &action.order);
-            } else {
-                self.formation.refused(&action.id);
-            }
+            self.give(now, action, fence, born);
+        }
+    }
+
+    /// Does what the shell does with an order.
+    fn give(&mut self, now: Time, action: Action, fence: u64, born: u64) {
+        let Some(host) = self.hosts.get(&action.id).filter(|it| !it.dead && !it.hidden) else {
+            return self.formation.lost(now, &action.id, born);
+        };
+        if action.premise.as_ref().is_some_and(|it| !it.holds(&host.report())) {
+            return self.formation.contested(now, &action.id, born);
+        }
+        if self.random.random_bool(self.lost_share) {
+            let (at, after) = (self.now + self.random.random_range(2_000..6_000), host.orders);
+            return self.late.push(Late { at, action, fence, after });
         }
+        let taken = match self.carry_out(&action.id, &action.order, fence) {
+            true => Taken::Yes,
+            false => Taken::No,
+        };
+        self.formation.answered(now, &action.id, born, &action.order, taken);
     }
 
     fn ask_doubtful(&mut self, now: Time) {
@@ -240,8 +262,8 @@
                 continue;
             }
             self.formation.found(now, &id, born);
-            let Instance { born, staged, model, member, .. } = host.instance.clone();
-            self.fleet.observe(&id, Report { born, staged, model, member });
+            let report = host.report();
+            self.fleet.observe(&id, report);
         }
     }
 
@@ -296,6 +318,14 @@
             return false;
         }
         let before = host.clone();
+        let done = self.obey(id, &before, order, fence);
+        if let Some(host) = self.hosts.get_mut(id).filter(|_| done) {
+            host.orders += 1;
+        }
+        done
+    }
+
+    fn obey(&mut self, id: &Arc<str>, before: &Host, order: &Order, fence: u64) -> bool {
         match order {
             Order::Join { group, epoch, model, members } => {
                 let key: Key = (group.clone(), *epoch);
@@ -303,7 +333,7 @@
                 if *epoch < seen || before.key().as_ref() == Some(&key) {
                     return before.key().as_ref() == Some(&key);
                 }
-                self.check_free(&before);
+                self.check_free(before);
                 let Some(model) = self.engine.model(model).cloned() else { return false };
                 let rank = members.iter().position(|it| it == id).unwrap_or_default();
                 let staged = before.instance.staged.first() == Some(&model.name);
@@ -388,9 +418,15 @@
             hidden: false,
             broken_at: None,
             fence: 0,
+            orders: 0,
         }
     }
 
+    fn report(&self) -> Report {
+        let Instance { born, staged, model, member, .. } = self.instance.clone();
+        Report { born, staged, model, member, orders: Some(self.orders) }
+    }
+
     fn key(&self) -> Option<Key> {
         self.instance.member.as_ref().map(|it| (it.group.clone(), it.epoch))
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,7 +7,7 @@
 //! | --- | --- |
 //! | `intake`, `way`, `request`, `place`, `call`, `stream`, `refusal` | callers' requests, from the first byte to the last |
 //! | `follow`, `relay`, [`mirror`], `apply` | what the store says, read there or at a peer |
-//! | `owner` | orders to instances, by one entry at a time |
+//! | `owner`, `order` | orders to instances, by one entry at a time |
 //! | `peers` | what entries tell each other |
 //! | [`pool`] | connections to targets and to the store |
 //! | `journal`, `metrics`, `ready` | what an operator sees |
@@ -23,6 +23,7 @@
 mod journal;
 mod metrics;
 pub mod mirror;
+mod order;
 mod owner;
 mod peers;
 mod place;
--- /dev/null
+++ b/gateway/src/order.rs
@@ -0,0 +1,153 @@
+//! Gives an order to an instance, once the instance has said that it is what the plan took it for.
+//!
+//! The list that a plan is made of is a little old. An order that takes an instance for a replica
+//! is therefore given only if the instance itself shows that nothing has changed, and is carried
+//! out only if it has taken no other order since then.
+
+use std::sync::Arc;
+
+use decision::gateway::fleet::Report;
+use decision::gateway::formation::{Action, Order, Premise, Taken};
+use decision::prelude::*;
+use tokio::time::sleep;
+
+use crate::error::Call;
+use crate::journal::Event;
+use crate::port::{Command, Platform};
+use crate::state::Shared;
+
+/// Longest time for an order.
+const ORDER: Duration = Duration::from_millis(900);
+
+/// Longest time for the question that comes before an order.
+const QUESTION: Duration = Duration::from_millis(300);
+
+/// Longest answer of an instance, in bytes.
+const MAX_ANSWER: usize = 1 << 20;
+
+/// How often the question is asked before the order is given up: what an instance counts may be
+/// some hundred milliseconds old.
+const TRIES: u32 = 4;
+
+/// Pause between two of them.
+const PAUSE: Duration = Duration::from_millis(80);
+
+/// What came of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// The instance answered.
+    Answered(Taken),
+    /// It is not what the plan took it for, and was not given the order.
+    Contested,
+    /// It did not answer. It may carry the order out.
+    Silent,
+    /// It could not be reached.
+    Unreachable,
+}
+
+/// Gives the order to the instance.
+pub(crate) async fn give<P: Platform>(shared: &Shared<P>, action: &Action, fence: u64) -> Outcome {
+    let list_age_ms = list_age(shared);
+    let (outcome, result) = match &action.premise {
+        Some(premise) => give_if(shared, action, premise, fence).await,
+        None => send(shared, action, fence, None).await,
+    };
+    let (name, group) = describe(&action.order);
+    shared.journal.note(&Event::Ordered {
+        instance: &action.id,
+        order: name,
+        group,
+        fence,
+        list_age_ms,
+        result: &result,
+    });
+    outcome
+}
+
+/// Gives the order if the premise holds and goes on to hold.
+async fn give_if<P: Platform>(
+    shared: &Shared<P>,
+    action: &Action,
+    premise: &Premise,
+    fence: u64,
+) -> (Outcome, String) {
+    let mut last = (Outcome::Contested, String::new());
+    for round in 0..TRIES {
+        if round > 0 {
+            sleep(PAUSE).await;
+        }
+        let report = match ask(shared, action).await {
+            Ok(report) => report,
+            Err(failure) => return failure,
+        };
+        if !premise.holds(&report) {
+            return (Outcome::Contested, contradiction(&report));
+        }
+        last = send(shared, action, fence, report.orders).await;
+        if last.0 != Outcome::Answered(Taken::Conflict) {
+            break;
+        }
+    }
+    last
+}
+
+async fn ask<P: Platform>(
+    shared: &Shared<P>,
+    action: &Action,
+) -> Result<Report, (Outcome, String)> {
+    let request = shared.platform.probe(action.address);
+    let answer = shared.targets.ask(action.address, request, QUESTION, MAX_ANSWER).await;
+    let answer = answer.map_err(|error| unanswered(&error))?;
+    let report = shared.platform.report(answer.body());
+    report.map_err(|error| (Outcome::Answered(Taken::No), error.to_string()))
+}
+
+async fn send<P: Platform>(
+    shared: &Shared<P>,
+    action: &Action,
+    fence: u64,
+    after: Option<u64>,
+) -> (Outcome, String) {
+    let command = Command { id: &action.id, order: &action.order, fence, after };
+    let request = shared.platform.order(action.address, &command);
+    match shared.targets.call(action.address, request, ORDER, MAX_ANSWER).await {
+        Ok(answer) => {
+            let taken = shared.platform.taken(answer.status());
+            (Outcome::Answered(taken), answer.status().to_string())
+        }
+        Err(error) => unanswered(&error),
+    }
+}
+
+fn unanswered(error: &Call) -> (Outcome, String) {
+    let outcome = match error {
+        Call::Connect(_) => Outcome::Unreachable,
+        _ => Outcome::Silent,
+    };
+    (outcome, error.to_string())
+}
+
+/// What an instance is instead of what the plan took it for.
+fn contradiction(report: &Report) -> String {
+    match &report.member {
+        Some(it) => format!("withheld: {:?} in {}, start {}", it.state, it.group, report.born),
+        None => format!("withheld: start {}", report.born),
+    }
+}
+
+/// Milliseconds since the list of instances was known to hold.
+fn list_age<P>(shared: &Shared<P>) -> u64 {
+    let known = shared.knowledge().fleet_at.unwrap_or(Time::ZERO);
+    let age = shared.now().since(known);
+    u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn describe(order: &Order) -> (&'static str, &Arc<str>) {
+    match order {
+        Order::Join { group, .. } => ("join", group),
+        Order::Open { group, .. } => ("open", group),
+        Order::Close { group, .. } => ("close", group),
+        Order::Leave { group, .. } => ("leave", group),
+        Order::Stage { model } => ("stage", model),
+    }
+}
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -10,16 +10,16 @@
 use decision::gateway::balance::hash;
 use decision::gateway::candidate::{self, Candidate};
 use decision::gateway::fleet::{Instance, Presence};
-use decision::gateway::formation::{self, Action, Doubt, Formation, Order};
+use decision::gateway::formation::{self, Action, Doubt, Formation, Order, Taken};
 use decision::prelude::*;
 use http::StatusCode;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
-use crate::error::Call;
 use crate::follow;
 use crate::journal::Event;
-use crate::port::{Kind, Lease, Object, Platform, Taken, When, Write};
+use crate::order::{self, Outcome};
+use crate::port::{Kind, Lease, Object, Platform, When, Write};
 use crate::state::Shared;
 
 /// Name of the lease.
@@ -31,9 +31,6 @@
 /// Time without the store after which a peer that reaches it had better own the replicas.
 const STALE: Duration = Duration::from_millis(1_200);
 
-/// Longest time for an order or a question to an instance.
-const ORDER: Duration = Duration::from_millis(900);
-
 /// Longest time for a question whether an instance lives.
 const PROBE: Duration = Duration::from_millis(180);
 
@@ -57,7 +54,7 @@
 
 /// What came of a call to an instance.
 enum Result {
-    Order { id: Arc<str>, born: u64, order: Order, taken: Option<Taken>, connected: bool },
+    Order { id: Arc<str>, born: u64, order: Order, outcome: Outcome },
     Probe { id: Arc<str>, born: u64, alive: bool },
 }
 
@@ -301,59 +298,33 @@
 
     fn order(&self, fence: u64, action: Action, born: u64) {
         let (shared, results) = (self.shared.clone(), self.results.clone());
-        let list_age_ms = self.list_age();
         tokio::spawn(async move {
-            let Action { id, address, order } = action;
-            let request = shared.platform.order(address, &id, &order, fence);
-            let call = shared.targets.call(address, request, ORDER, MAX_ANSWER).await;
-            let connected = !matches!(call, Err(Call::Connect(_)));
-            let taken = call.as_ref().ok().map(|it| shared.platform.taken(it.status()));
-            let result = match &call {
-                Ok(answer) => answer.status().to_string(),
-                Err(error) => error.to_string(),
-            };
-            let (name, group) = describe(&order);
-            shared.journal.note(&Event::Ordered {
-                instance: &id,
-                order: name,
-                group,
-                fence,
-                list_age_ms,
-                result: &result,
-            });
-            let result = Result::Order { id: id.clone(), born, order, taken, connected };
+            let outcome = order::give(&shared, &action, fence).await;
+            let Action { id, order, .. } = action;
             // Without a receiver the process ends.
-            let _sent = results.send(result).await;
+            let _sent = results.send(Result::Order { id, born, order, outcome }).await;
         });
     }
 
-    /// Milliseconds since the list of instances was known to hold.
-    fn list_age(&self) -> u64 {
-        let known = self.shared.knowledge().fleet_at.unwrap_or(Time::ZERO);
-        let age = self.shared.now().since(known);
-        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
-    }
-
     fn take(&mut self, result: Result) {
         let now = self.shared.now();
         match result {
             Result::Probe { id, born, alive } => self.probed(now, &id, born, alive),
-            Result::Order { id, born, order, taken, connected } => {
-                if taken == Some(Taken::Fenced) {
+            Result::Order { id, born, order, outcome } => {
+                if outcome == Outcome::Answered(Taken::Fenced) {
                     return self.give_up("an instance has seen a later owner");
                 }
                 for formation in self.formations.values_mut() {
-                    match taken {
-                        Some(Taken::Yes | Taken::Conflict) => {
-                            formation.found(now, &id, born);
-                            formation.done(now, &id, &order);
+                    match outcome {
+                        Outcome::Answered(taken) => {
+                            formation.answered(now, &id, born, &order, taken);
                         }
-                        Some(_) => formation.refused(&id),
-                        None if !connected => formation.lost(now, &id, born),
-                        None => {}
+                        Outcome::Contested => formation.contested(now, &id, born),
+                        Outcome::Unreachable => formation.lost(now, &id, born),
+                        Outcome::Silent => {}
                     }
                 }
-                if taken.is_none() && connected {
+                if outcome == Outcome::Silent {
                     self.ask(now, id, PROBE_PAUSE);
                 }
             }
@@ -399,16 +370,6 @@
     }
 }
 
-fn describe(order: &Order) -> (&'static str, &str) {
-    match order {
-        Order::Join { group, .. } => ("join", group),
-        Order::Open { group, .. } => ("open", group),
-        Order::Close { group, .. } => ("close", group),
-        Order::Leave { group, .. } => ("leave", group),
-        Order::Stage { model } => ("stage", model),
-    }
-}
-
 /// Whether a write was refused since the object is there already.
 pub(crate) fn exists(status: StatusCode) -> bool {
     status == StatusCode::CONFLICT
--- a/gateway/src/port.rs
+++ b/gateway/src/port.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use decision::gateway::config::Config;
 use decision::gateway::fleet::{Instance, Report};
-use decision::gateway::formation::Order;
+use decision::gateway::formation::{Order, Taken};
 use decision::prelude::*;
 use http::{HeaderMap, Request, StatusCode, request, response};
 use http_body_util::Full;
@@ -43,8 +43,8 @@
     /// If it is no report.
     fn report(&self, body: &[u8]) -> Result<Report, Malformed>;
 
-    /// Gives an order to the instance `id`, and no other one at its address, under a fencing token.
-    fn order(&self, address: SocketAddr, id: &str, order: &Order, fence: u64) -> Outgoing;
+    /// Gives an order to an instance, and no other one at its address.
+    fn order(&self, address: SocketAddr, command: &Command<'_>) -> Outgoing;
 
     /// What the status of an order's answer says.
     fn taken(&self, status: StatusCode) -> Taken;
@@ -142,19 +142,17 @@
     Misdirected,
 }
 
-/// What an instance says to an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Taken {
-    /// It has begun, or it is done.
-    Yes,
-    /// It doesn't fit the instance's state.
-    Conflict,
-    /// A later owner has given orders.
-    Fenced,
-    /// Another instance has the address.
-    Misdirected,
-    /// It is not understood, or the instance can't take it now.
-    No,
+/// An order to one instance, and when it may be carried out.
+#[derive(Clone, Copy, Debug)]
+pub struct Command<'a> {
+    /// The instance.
+    pub id: &'a str,
+    /// What it shall do.
+    pub order: &'a Order,
+    /// The owner's fencing token.
+    pub fence: u64,
+    /// How many orders the instance must have taken before, if that matters.
+    pub after: Option<u64>,
 }
 
 /// The kinds of objects in the platform's store that the gateway reads.
