Take a refusal to leave for a refusal

Cause: an answer 409 to an order to leave was counted like an answer 200. "The order doesn't fit my state" became "I have left": the replica was forgotten, and its members were ordered to join another one while the head served.

Now a conflict says only that the instance lives. The order is repeated until the instance or the list shows that it has left.

Whether the operators' instances answer so was not seen: suspected, not shown.

--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -227,12 +227,15 @@
     /// Notes what an instance said to an order. `born` is the start of it that was meant.
     pub fn answered(&mut self, now: Time, id: &Arc<str>, born: u64, order: &Order, taken: Taken) {
         match taken {
-            Taken::Yes | Taken::Conflict => {
+            Taken::Yes => {
                 self.found(now, id, born);
                 if let Order::Leave { group, epoch } = order {
                     self.left.insert((id.clone(), (group.clone(), *epoch)), now);
                 }
-                if taken == Taken::Conflict && matches!(order, Order::Join { .. }) {
+            }
+            Taken::Conflict => {
+                self.found(now, id, born);
+                if matches!(order, Order::Join { .. }) {
                     self.contested(now, id, born);
                 }
             }
