--- a/decision/tests/gateway/main.rs
+++ b/decision/tests/gateway/main.rs
@@ -3,9 +3,11 @@
 mod balance;
 mod budget;
 mod candidate;
+mod ending;
 mod fleet;
 mod formation;
 mod owners;
+mod premise;
 mod route;
 mod support;
 mod warmup;
--- a/decision/tests/gateway/world.rs
+++ b/decision/tests/gateway/world.rs
@@ -5,22 +5,22 @@
 mod judge;
 mod manner;
 mod owner;
+mod post;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 use decision::gateway::engine::Engine;
-use decision::gateway::fleet::{Fleet, Instance, Phase, State};
-use decision::gateway::formation::{Action, Order};
-use rand::RngExt as _;
+use decision::gateway::fleet::{Fleet, Instance, Phase, Report, State};
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::SeedableRng;
 
-use self::host::{Host, Message, Taken, Terms};
+use self::host::Host;
 use self::judge::Judge;
 pub(crate) use self::manner::Manner;
 use self::manner::delay;
 use self::owner::{Owner, Result};
+use self::post::Parcel;
 use crate::support::{engine, instance};
 
 /// Milliseconds of one step.
@@ -29,12 +29,6 @@
 /// Milliseconds after which an entry goes that isn't renewed.
 const LAPSE: u64 = 3_600;
 
-/// Milliseconds for which an owner waits for the answer to an order.
-const ORDER: u64 = 900;
-
-/// Milliseconds for which an owner waits for a report.
-const PROBE: u64 = 180;
-
 /// Milliseconds without an owner after which there is another one.
 const VACANT: u64 = 250;
 
@@ -76,6 +70,10 @@
 /// What happens at its time.
 #[derive(Debug)]
 enum Event {
+    /// A question arrives that comes before an order.
+    Question(Parcel),
+    /// An owner reads the report that it asked for.
+    Report(Parcel, Report),
     /// An order arrives.
     Order(Parcel),
     /// A question for a report arrives.
@@ -86,16 +84,6 @@
     Elect,
 }
 
-/// An order on its way.
-#[derive(Debug)]
-struct Parcel {
-    fence: u64,
-    action: Action,
-    born: u64,
-    /// Whether the owner learns the answer.
-    answered: bool,
-}
-
 impl World {
     pub(crate) fn new(seed: u64, fabrics: usize, size: usize) -> World {
         let mut hosts = BTreeMap::new();
@@ -351,7 +339,7 @@
             let torn = wishes.torn().into_iter().map(|it| (now, it));
             self.torn.extend(torn);
             for (action, born) in wishes.orders {
-                self.send(fence, action, born);
+                self.give(fence, action, born);
             }
             for (id, born) in wishes.questions {
                 self.ask(fence, id, born);
@@ -359,89 +347,6 @@
         }
     }
 
-    fn ask(&mut self, fence: u64, id: Arc<str>, born: u64) {
-        let travel = self.manner.travel.clone();
-        let after = delay(&mut self.random, &travel).min(PROBE - 30);
-        self.push(after, Event::Probe { fence, id, born });
-    }
-
-    fn send(&mut self, fence: u64, action: Action, born: u64) {
-        if matches!(action.order, Order::Stage { .. }) {
-            self.loads.push(self.now);
-        }
-        let owner = self.owners.iter().find(|it| it.fence == fence);
-        let shown = owner.and_then(|it| it.fleet.recall(&action.id).cloned());
-        let shown = shown.as_ref().map(|it| describe(it));
-        let line = format!(
-            "{:>6} owner {fence} orders {} {:?}, listed as {shown:?}",
-            self.now, action.id, action.order
-        );
-        self.judge.note(&action.id, line);
-        let lost = self.random.random_bool(self.lost_share);
-        let range = if lost { self.manner.late.clone() } else { self.manner.travel.clone() };
-        let after = delay(&mut self.random, &range);
-        let answered = after < ORDER;
-        if !answered {
-            let Action { id, order, .. } = action.clone();
-            let result = Result::Order { id, born, order, taken: None, connected: true };
-            self.push(ORDER, Event::Result { fence, result });
-        }
-        self.push(after, Event::Order(Parcel { fence, action, born, answered }));
-    }
-
-    fn happen(&mut self, event: Event) {
-        match event {
-            Event::Order(parcel) => self.deliver(parcel),
-            Event::Probe { fence, id, born } => self.answer(fence, id, born),
-            Event::Result { fence, result } => self.learn(fence, result),
-            Event::Elect => self.elect(0),
-        }
-    }
-
-    /// An order arrives at its instance, which takes or refuses it.
-    fn deliver(&mut self, parcel: Parcel) {
-        let Parcel { fence, action: Action { id, order, .. }, born, answered } = parcel;
-        let taken = self.carry_out(&id, &order, fence);
-        if answered {
-            let connected = taken.is_some();
-            let result = Result::Order { id, born, order, taken, connected };
-            self.push(1, Event::Result { fence, result });
-        }
-    }
-
-    /// Carries an order out. Panics if that breaks a rule.
-    fn carry_out(&mut self, id: &Arc<str>, order: &Order, fence: u64) -> Option<Taken> {
-        let terms = Terms {
-            engine: &self.engine,
-            fencing: self.manner.fencing,
-            refuses: self.random.random_bool(self.manner.refusal),
-            closing: delay(&mut self.random, &self.manner.closing),
-        };
-        let message = Message { order, fence, expect: None };
-        let host = self.hosts.get_mut(id).filter(|it| !it.dead && !it.hidden)?;
-        let before = host.clone();
-        let taken = host.take(self.now, &message, &terms);
-        let after = host.clone();
-        let line = format!(
-            "{:>6} {id} answers {taken:?} to owner {fence}: {order:?}, it was {} after {} orders",
-            self.now,
-            describe(&before.instance),
-            before.orders
-        );
-        self.judge.note(id, line);
-        if taken == Taken::Yes {
-            self.judge.judge(&self.hosts, &before, order, &after);
-        }
-        Some(taken)
-    }
-
-    fn answer(&mut self, fence: u64, id: Arc<str>, born: u64) {
-        let host = self.hosts.get(&id).filter(|it| !it.dead && !it.hidden);
-        let report = host.map(Host::report).filter(|it| it.born == born);
-        let after = if host.is_some() { 1 } else { PROBE };
-        self.push(after, Event::Result { fence, result: Result::Probe { id, born, report } });
-    }
-
     fn learn(&mut self, fence: u64, result: Result) {
         let Some(place) = self.owners.iter().position(|it| it.fence == fence) else { return };
         let owner = &mut self.owners[place];
@@ -457,10 +362,3 @@
         }
     }
 }
-
-fn describe(instance: &Instance) -> String {
-    let member = instance.member.as_ref();
-    let member = member.map(|it| format!("{}/{} {:?}", it.group, it.rank, it.state));
-    let (model, staged) = (instance.model.as_deref(), instance.staged.first());
-    format!("born {} {member:?} with {model:?} staged {staged:?}", instance.born)
-}
--- a/decision/tests/gateway/world/host.rs
+++ b/decision/tests/gateway/world/host.rs
@@ -4,7 +4,7 @@
 
 use decision::gateway::engine::Engine;
 use decision::gateway::fleet::{Instance, Member, Report, State};
-use decision::gateway::formation::{Close, Order};
+use decision::gateway::formation::{Close, Order, Taken};
 
 use super::Key;
 use crate::support::ms;
@@ -29,6 +29,8 @@
     broken_at: Option<u64>,
     /// Orders that it has taken.
     pub(super) orders: u64,
+    /// When it took them.
+    counted: Vec<u64>,
     fence: u64,
     /// The last replica that it was ordered to join.
     last: Option<(Key, Vec<Arc<str>>)>,
@@ -41,17 +43,6 @@
     Closing,
 }
 
-/// What an instance answers to an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Taken {
-    /// 200 or 202.
-    Yes,
-    /// 409.
-    Conflict,
-    /// 412.
-    Fenced,
-}
-
 /// An order as it arrives.
 #[derive(Clone, Debug)]
 pub(crate) struct Message<'a> {
@@ -84,6 +75,7 @@
             hidden: false,
             broken_at: None,
             orders: 0,
+            counted: Vec::new(),
             fence: 0,
             last: None,
         }
@@ -106,9 +98,12 @@
         !self.dead && self.is_head() && matches!(self.state(), Some(State::Open | State::Closing))
     }
 
-    pub(super) fn report(&self) -> Report {
+    /// What it says of itself. It shows its replica at once, and what it counts as it was at `seen`.
+    pub(super) fn report(&self, seen: u64) -> Report {
         let Instance { born, staged, model, member, .. } = self.instance.clone();
-        Report { born, staged, model, member }
+        let later = self.counted.iter().filter(|it| **it > seen).count();
+        let orders = Some(self.orders - u64::try_from(later).unwrap_or_default());
+        Report { born, staged, model, member, orders }
     }
 
     /// Lets time pass. `still` says whether it is a head that lost a member. Returns the replica
@@ -142,6 +137,15 @@
 
     /// Takes an order or refuses it.
     pub(super) fn take(&mut self, now: u64, message: &Message<'_>, terms: &Terms<'_>) -> Taken {
+        let before = self.orders;
+        let taken = self.obey(now, message, terms);
+        if self.orders > before {
+            self.counted.push(now);
+        }
+        taken
+    }
+
+    fn obey(&mut self, now: u64, message: &Message<'_>, terms: &Terms<'_>) -> Taken {
         if terms.fencing {
             if message.fence < self.fence {
                 return Taken::Fenced;
--- a/decision/tests/gateway/world/manner.rs
+++ b/decision/tests/gateway/world/manner.rs
@@ -14,6 +14,8 @@
     pub(crate) travel: RangeInclusive<u64>,
     /// Time until an order arrives whose answer is lost.
     pub(crate) late: RangeInclusive<u64>,
+    /// How old the count of orders is that an instance tells.
+    pub(crate) report_lag: RangeInclusive<u64>,
     /// Time for the requests of a head that stops.
     pub(crate) closing: RangeInclusive<u64>,
     /// Whether instances refuse orders of owners that another one followed.
@@ -28,6 +30,7 @@
             lag: 150..=150,
             travel: 1..=10,
             late: 2_000..=12_000,
+            report_lag: 1..=1,
             closing: 500..=500,
             fencing: true,
             refusal: 0.0,
--- a/decision/tests/gateway/world/owner.rs
+++ b/decision/tests/gateway/world/owner.rs
@@ -6,10 +6,9 @@
 
 use decision::gateway::engine::Engine;
 use decision::gateway::fleet::{Fleet, Instance, Presence, Report};
-use decision::gateway::formation::{Action, Doubt, Formation, Order, Settings};
+use decision::gateway::formation::{Action, Doubt, Formation, Order, Settings, Taken};
 use decision::prelude::*;
 
-use super::host::Taken;
 use crate::support::{at, ms};
 
 /// Questions without an answer after which an instance counts as lost.
@@ -51,10 +50,23 @@
 /// What came of a call to an instance.
 #[derive(Clone, Debug)]
 pub(super) enum Result {
-    Order { id: Arc<str>, born: u64, order: Order, taken: Option<Taken>, connected: bool },
+    Order { id: Arc<str>, born: u64, order: Order, outcome: Outcome },
     Probe { id: Arc<str>, born: u64, report: Option<Report> },
 }
 
+/// What came of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Outcome {
+    /// The instance answered.
+    Answered(Taken),
+    /// It is not what the plan took it for, and was not given the order.
+    Contested,
+    /// It did not answer.
+    Silent,
+    /// It could not be reached.
+    Unreachable,
+}
+
 /// What an owner wants to be sent.
 #[derive(Debug, Default)]
 pub(super) struct Wishes {
@@ -151,15 +163,15 @@
         let now = at(now);
         match result {
             Result::Probe { id, born, report } => Ok(self.probed(now, &id, born, report)),
-            Result::Order { taken: Some(Taken::Fenced), .. } => Err(()),
-            Result::Order { id, born, order, taken, connected } => {
-                match taken {
-                    Some(_) => {
-                        self.formation.found(now, &id, born);
-                        self.formation.done(now, &id, &order);
+            Result::Order { outcome: Outcome::Answered(Taken::Fenced), .. } => Err(()),
+            Result::Order { id, born, order, outcome } => {
+                match outcome {
+                    Outcome::Answered(taken) => {
+                        self.formation.answered(now, &id, born, &order, taken);
                     }
-                    None if !connected => self.formation.lost(now, &id, born),
-                    None => return Ok(self.ask(now, &id, PROBE_PAUSE)),
+                    Outcome::Contested => self.formation.contested(now, &id, born),
+                    Outcome::Unreachable => self.formation.lost(now, &id, born),
+                    Outcome::Silent => return Ok(self.ask(now, &id, PROBE_PAUSE)),
                 }
                 Ok(None)
             }
--- /dev/null
+++ b/decision/tests/gateway/world/post.rs
@@ -0,0 +1,196 @@
+//! Questions and orders on their way, as the shell sends them.
+
+use std::sync::Arc;
+
+use decision::gateway::fleet::{Instance, Report};
+use decision::gateway::formation::{Action, Order, Taken};
+use rand::RngExt as _;
+
+use super::host::{Host, Message, Terms};
+use super::manner::delay;
+use super::owner::{Outcome, Result};
+use super::{Event, World};
+
+/// Milliseconds for which an owner waits for the answer to an order.
+const ORDER: u64 = 900;
+
+/// Milliseconds for which it waits for the report that comes before an order.
+const QUESTION: u64 = 300;
+
+/// How often it asks for that report.
+const TRIES: u32 = 4;
+
+/// Milliseconds between two of these questions.
+const PAUSE: u64 = 80;
+
+/// Milliseconds for which an owner waits to hear whether an instance lives.
+const PROBE: u64 = 180;
+
+/// An order on its way.
+#[derive(Clone, Debug)]
+pub(super) struct Parcel {
+    fence: u64,
+    action: Action,
+    born: u64,
+    /// The orders that the instance must have taken.
+    expect: Option<u64>,
+    /// How often the instance was asked for its report.
+    tries: u32,
+    /// Whether the owner learns the answer.
+    answered: bool,
+}
+
+impl World {
+    pub(super) fn happen(&mut self, event: Event) {
+        match event {
+            Event::Question(parcel) => self.question(parcel),
+            Event::Report(parcel, report) => self.weigh(parcel, &report),
+            Event::Order(parcel) => self.deliver(parcel),
+            Event::Probe { fence, id, born } => self.probe(fence, id, born),
+            Event::Result { fence, result } => self.learn(fence, result),
+            Event::Elect => self.elect(0),
+        }
+    }
+
+    /// An owner asks an instance whether it lives.
+    pub(super) fn ask(&mut self, fence: u64, id: Arc<str>, born: u64) {
+        let after = self.travel().min(PROBE - 30);
+        self.push(after, Event::Probe { fence, id, born });
+    }
+
+    /// An owner gives an order.
+    pub(super) fn give(&mut self, fence: u64, action: Action, born: u64) {
+        if matches!(action.order, Order::Stage { .. }) {
+            self.loads.push(self.now);
+        }
+        let owner = self.owners.iter().find(|it| it.fence == fence);
+        let shown = owner.and_then(|it| it.fleet.recall(&action.id).cloned());
+        let shown = shown.as_ref().map(|it| describe(it));
+        let line = format!(
+            "{:>6} owner {fence} orders {} {:?}, listed as {shown:?}",
+            self.now, action.id, action.order
+        );
+        self.judge.note(&action.id, line);
+        let asks = action.premise.is_some();
+        let parcel = Parcel { fence, action, born, expect: None, tries: 0, answered: true };
+        if asks { self.inquire(0, parcel) } else { self.send(parcel) }
+    }
+
+    /// Asks for the report that comes before an order.
+    fn inquire(&mut self, pause: u64, parcel: Parcel) {
+        let travel = self.travel();
+        match travel < QUESTION {
+            true => self.push(pause + travel, Event::Question(parcel)),
+            false => self.conclude(pause + QUESTION, parcel, Outcome::Silent),
+        }
+    }
+
+    fn question(&mut self, parcel: Parcel) {
+        let lag = self.manner.report_lag.clone();
+        let seen = self.now.saturating_sub(delay(&mut self.random, &lag));
+        match self.reachable(&parcel.action.id).map(|it| it.report(seen)) {
+            Some(report) => self.push(1, Event::Report(parcel, report)),
+            None => self.conclude(1, parcel, Outcome::Unreachable),
+        }
+    }
+
+    /// Sends the order if its premise holds by the report.
+    fn weigh(&mut self, mut parcel: Parcel, report: &Report) {
+        let owner = self.owners.iter().find(|it| it.fence == parcel.fence);
+        if let Some(wakes) = owner.and_then(|it| it.asleep) {
+            return self.push(wakes - self.now + 1, Event::Report(parcel, report.clone()));
+        }
+        if parcel.action.premise.as_ref().is_some_and(|it| !it.holds(report)) {
+            let (id, fence) = (&parcel.action.id, parcel.fence);
+            let line = format!("{:>6} owner {fence} withholds it: {id} is {report:?}", self.now);
+            self.judge.note(&parcel.action.id, line);
+            return self.conclude(0, parcel, Outcome::Contested);
+        }
+        parcel.expect = report.orders;
+        parcel.tries += 1;
+        self.send(parcel);
+    }
+
+    fn send(&mut self, mut parcel: Parcel) {
+        let lost = self.random.random_bool(self.lost_share);
+        let range = if lost { self.manner.late.clone() } else { self.manner.travel.clone() };
+        let after = delay(&mut self.random, &range);
+        parcel.answered = after < ORDER;
+        if !parcel.answered {
+            self.conclude(ORDER, parcel.clone(), Outcome::Silent);
+        }
+        self.push(after, Event::Order(parcel));
+    }
+
+    /// An order arrives at its instance, which takes or refuses it.
+    fn deliver(&mut self, parcel: Parcel) {
+        let taken = self.carry_out(&parcel);
+        if !parcel.answered {
+            return;
+        }
+        let again = taken == Some(Taken::Conflict) && (1..TRIES).contains(&parcel.tries);
+        match taken {
+            Some(_) if again => self.inquire(PAUSE, parcel),
+            Some(taken) => self.conclude(1, parcel, Outcome::Answered(taken)),
+            None => self.conclude(1, parcel, Outcome::Unreachable),
+        }
+    }
+
+    fn conclude(&mut self, after: u64, parcel: Parcel, outcome: Outcome) {
+        let Parcel { fence, action: Action { id, order, .. }, born, .. } = parcel;
+        self.push(
+            after,
+            Event::Result { fence, result: Result::Order { id, born, order, outcome } },
+        );
+    }
+
+    /// Carries an order out. Panics if that breaks a rule.
+    fn carry_out(&mut self, parcel: &Parcel) -> Option<Taken> {
+        let Parcel { fence, action: Action { id, order, .. }, expect, .. } = parcel;
+        let terms = Terms {
+            engine: &self.engine,
+            fencing: self.manner.fencing,
+            refuses: self.random.random_bool(self.manner.refusal),
+            closing: delay(&mut self.random, &self.manner.closing),
+        };
+        let message = Message { order, fence: *fence, expect: *expect };
+        let host = self.hosts.get_mut(id).filter(|it| !it.dead && !it.hidden)?;
+        let before = host.clone();
+        let taken = host.take(self.now, &message, &terms);
+        let after = host.clone();
+        let line = format!(
+            "{:>6} {id} answers {taken:?} to owner {fence}: {order:?}, it was {} after {} orders",
+            self.now,
+            describe(&before.instance),
+            before.orders
+        );
+        self.judge.note(id, line);
+        if taken == Taken::Yes {
+            self.judge.judge(&self.hosts, &before, order, &after);
+        }
+        Some(taken)
+    }
+
+    fn probe(&mut self, fence: u64, id: Arc<str>, born: u64) {
+        let report = self.reachable(&id).map(|it| it.report(self.now));
+        let after = if report.is_some() { 1 } else { PROBE };
+        let report = report.filter(|it| it.born == born);
+        self.push(after, Event::Result { fence, result: Result::Probe { id, born, report } });
+    }
+
+    fn reachable(&self, id: &str) -> Option<&Host> {
+        self.hosts.get(id).filter(|it| !it.dead && !it.hidden)
+    }
+
+    fn travel(&mut self) -> u64 {
+        let travel = self.manner.travel.clone();
+        delay(&mut self.random, &travel)
+    }
+}
+
+fn describe(instance: &Instance) -> String {
+    let member = instance.member.as_ref();
+    let member = member.map(|it| format!("{}/{} {:?}", it.group, it.rank, it.state));
+    let (model, staged) = (instance.model.as_deref(), instance.staged.first());
+    format!("born {} {member:?} with {model:?} staged {staged:?}", instance.born)
+}
