Ask an instance again whose answer contradicts the plan, and judge it by what only it can know

Cause: an instance tells what it was about 200 ms earlier, its replica and its count of orders alike ("Open in r1000011 after 2 orders" three times within 240 ms after it had left, then "free after 3 orders"). A replica that had lost its head was so given up and planned anew, over and over.

Now the question is repeated after 80, 130 and 190 ms until the answer fits; another start of the instance ends it at once. A head that was never opened may be taken whatever its replica, as its count shows if it is; a member only from the replica that the plan knew, or from one of this owner's term that is over. An owner whose term has ended sends nothing more.

--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -365,7 +365,7 @@
             return;
         }
         self.sent.insert(id.clone(), Sent { at: now, order: order.clone() });
-        let premise = Premise::of(&order, instance);
+        let premise = Premise::of(&order, instance, self.fence * EPOCHS);
         actions.push(Action { id: id.clone(), address: instance.address, order, premise });
     }
 
--- a/decision/src/gateway/formation/order.rs
+++ b/decision/src/gateway/formation/order.rs
@@ -100,26 +100,29 @@
     pub born: u64,
     /// The replica that it may still be a member of, since that serves no more.
     pub was: Option<(Arc<str>, u64)>,
-    /// The replica that it is to join, which it may have done already.
-    pub joins: (Arc<str>, u64),
+    /// The first epoch of this owner. What it formed itself and uses again never served.
+    pub own: u64,
 }
 
 impl Premise {
-    /// What `order` takes for granted of an instance that looks like this. None if it only concerns
-    /// the replica that it names.
-    pub(super) fn of(order: &Order, instance: &Instance) -> Option<Premise> {
-        let Order::Join { group, epoch, .. } = order else { return None };
+    /// What `order` takes for granted of an instance that looks like this, for the owner whose first
+    /// epoch is `own`. None if it only concerns the replica that it names.
+    pub(super) fn of(order: &Order, instance: &Instance, own: u64) -> Option<Premise> {
+        let Order::Join { .. } = order else { return None };
         let was = instance.member.as_ref().map(|it| (it.group.clone(), it.epoch));
-        Some(Premise { born: instance.born, was, joins: (group.clone(), *epoch) })
+        Some(Premise { born: instance.born, was, own })
     }
 
-    /// Whether it is true by what the instance says now.
+    /// Whether it is true by what the instance says of itself.
     pub fn holds(&self, report: &Report) -> bool {
         let Some(member) = &report.member else { return report.born == self.born };
-        let is_in =
-            |(group, epoch): &(Arc<str>, u64)| *group == member.group && *epoch == member.epoch;
         let serves = matches!(member.state, State::Open | State::Closing);
-        let free = self.was.as_ref().is_some_and(is_in) && !serves;
-        report.born == self.born && (free || is_in(&self.joins))
+        let was = self.was.as_ref();
+        let was =
+            was.is_some_and(|(group, epoch)| *group == member.group && *epoch == member.epoch);
+        // What happens to a head shows in the orders that it takes, what happens to the head of a
+        // member does not.
+        let free = member.rank == 0 || was || member.epoch >= self.own;
+        report.born == self.born && free && !serves
     }
 }
--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -4,6 +4,7 @@
 //! is therefore given only if the instance itself shows that nothing has changed, and is carried
 //! out only if it has taken no other order since then.
 
+use std::iter;
 use std::sync::Arc;
 
 use decision::gateway::fleet::Report;
@@ -25,12 +26,10 @@
 /// Longest answer of an instance, in bytes.
 const MAX_ANSWER: usize = 1 << 20;
 
-/// How often the question is asked before the order is given up: what an instance counts may be
-/// some hundred milliseconds old.
-const TRIES: u32 = 4;
-
-/// Pause between two of them.
-const PAUSE: Duration = Duration::from_millis(80);
+/// Pauses after which the question is asked again: an instance tells what it was some hundred
+/// milliseconds earlier.
+const PAUSES: [Duration; 3] =
+    [Duration::from_millis(80), Duration::from_millis(130), Duration::from_millis(190)];
 
 /// What came of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,24 +70,31 @@
     premise: &Premise,
     fence: u64,
 ) -> (Outcome, String) {
-    let mut last = (Outcome::Contested, String::new());
-    for round in 0..TRIES {
-        if round > 0 {
-            sleep(PAUSE).await;
-        }
+    let mut seen = Vec::new();
+    for pause in iter::once(Duration::ZERO).chain(PAUSES) {
+        sleep(pause).await;
         let report = match ask(shared, action).await {
             Ok(report) => report,
             Err(failure) => return failure,
         };
         if !premise.holds(&report) {
-            return (Outcome::Contested, contradiction(&report));
+            seen.push(describe_report(&report));
+            if report.born != premise.born {
+                break;
+            }
+            continue;
         }
-        last = send(shared, action, fence, report.orders).await;
-        if last.0 != Outcome::Answered(Taken::Conflict) {
+        if shared.peers.owned() != Some(fence) {
+            seen.push("no longer the owner".to_owned());
             break;
         }
+        let (outcome, result) = send(shared, action, fence, report.orders).await;
+        seen.push(format!("{}, {result}", describe_report(&report)));
+        if outcome != Outcome::Answered(Taken::Conflict) {
+            return (outcome, seen.join("; "));
+        }
     }
-    last
+    (Outcome::Contested, seen.join("; "))
 }
 
 async fn ask<P: Platform>(
@@ -127,11 +133,12 @@
     (outcome, error.to_string())
 }
 
-/// What an instance is instead of what the plan took it for.
-fn contradiction(report: &Report) -> String {
+/// What an instance said of itself, in short.
+fn describe_report(report: &Report) -> String {
+    let orders = report.orders.map_or("?".to_owned(), |it| it.to_string());
     match &report.member {
-        Some(it) => format!("withheld: {:?} in {}, start {}", it.state, it.group, report.born),
-        None => format!("withheld: start {}", report.born),
+        Some(it) => format!("{:?} in {} after {orders} orders", it.state, it.group),
+        None => format!("free after {orders} orders"),
     }
 }
 
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -107,6 +107,11 @@
         self.state().own = fence;
     }
 
+    /// Under which fencing token this entry gives orders, if it does.
+    pub(crate) fn owned(&self) -> Option<u64> {
+        self.state().own
+    }
+
     /// The peers that are alive and don't leave.
     pub(crate) fn candidates(&self, now: Time) -> Vec<Candidate> {
         let state = self.state();
