Let an entry that wins the lease be heard before it lists, and leave the lease to it meanwhile

Cause: an entry that had written the lease listed the instances first, for up to a second, and told its peers afterwards; the next candidate waits 0.7 s. Two owners then gave orders at the same time, the later one by a list that lacked what the earlier one had on its way.

Now the winner tells its peers at once, and a candidate that reads a lease which a living peer has won since it looked last leaves the replicas to that peer for one more pause. If the peer still isn't heard, it has given up. A holder whose process is gone is not waited for.

Tests: the_lease_is_left_to_a_holder, four cases.

--- a/decision/src/gateway/candidate.rs
+++ b/decision/src/gateway/candidate.rs
@@ -56,6 +56,15 @@
     Some(settings.vacant + settings.step.saturating_mul(before) + longer)
 }
 
+/// Whether a candidate leaves the replicas to the holder of the lease that it has just read, for
+/// one more pause. `known` is the fencing token of the lease when it read it before.
+///
+/// A holder that lives and has won since then is about to give orders, though it wasn't heard yet.
+/// One that still isn't heard after the pause has given up.
+pub fn gives_way(fence: u64, known: Option<u64>, holder_lives: bool) -> bool {
+    holder_lives && known != Some(fence)
+}
+
 impl Candidate {
     fn rank(&self) -> (bool, &str) {
         (!self.seasoned, &self.name)
--- a/decision/tests/gateway/candidate.rs
+++ b/decision/tests/gateway/candidate.rs
@@ -1,4 +1,5 @@
-use decision::gateway::candidate::{Candidate, Settings, pause};
+use decision::gateway::candidate::{Candidate, Settings, gives_way, pause};
+use rstest::rstest;
 
 use crate::support::ms;
 
@@ -33,3 +34,17 @@
     assert_eq!(pause(&SETTINGS, &candidate("a"), &[candidate("b")], 5), Some(ms(4_250)));
     assert_eq!(pause(&SETTINGS, &candidate("a"), &[candidate("b")], 4), Some(ms(250)));
 }
+
+#[rstest]
+#[case::who_has_just_won(2, Some(1), true, true)]
+#[case::who_was_never_seen_before(2, None, true, true)]
+#[case::who_was_waited_for(2, Some(2), true, false)]
+#[case::whose_process_is_gone(2, Some(1), false, false)]
+fn the_lease_is_left_to_a_holder(
+    #[case] fence: u64,
+    #[case] known: Option<u64>,
+    #[case] lives: bool,
+    #[case] left: bool,
+) {
+    assert_eq!(gives_way(fence, known, lives), left);
+}
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -62,6 +62,8 @@
     shared: Arc<Shared<P>>,
     life: u64,
     fence: Option<u64>,
+    /// Fencing token of the lease when it was read last.
+    known_fence: Option<u64>,
     formations: HashMap<Arc<str>, Formation>,
     /// When another owner, or this entry in an earlier term, may have given its last orders.
     last_orders: Time,
@@ -85,6 +87,7 @@
         shared: shared.clone(),
         life,
         fence: None,
+        known_fence: None,
         formations: HashMap::new(),
         last_orders: vacant_since,
         vacant_since,
@@ -173,11 +176,14 @@
             },
             None => (When::Absent, 1),
         };
+        if held.as_ref().is_some_and(|it| self.leaves_to(&it.object)) {
+            return;
+        }
         let lease =
             Lease { holder: self.shared.settings().instance.clone(), life: self.life, fence };
         let Ok(value) = serde_json::to_value(&lease) else { return };
         let write = Write { kind: Kind::Leases, name: LEASE, when, value };
-        let put = platform.put(store, &write);
+        let put = self.shared.platform.put(store, &write);
         // Without an answer, the next turn reads who holds it.
         if let Ok(answer) = self.shared.store.call(store, put, STORE, MAX_ANSWER).await
             && answer.status().is_success()
@@ -186,10 +192,20 @@
         }
     }
 
-    /// Begins to own, once the list shows what the last owner did.
+    /// Whether the holder of a lease is given the time to be heard.
+    fn leaves_to(&mut self, held: &Object) -> bool {
+        let Object::Lease(Lease { holder, life, fence }) = held else { return false };
+        let lives = self.shared.peers.lives(self.shared.now(), holder, *life);
+        let known = self.known_fence.replace(*fence);
+        candidate::gives_way(*fence, known, lives)
+    }
+
+    /// Begins to own, once the list shows what the last owner did. Peers hear of it before, so that
+    /// no other one takes over meanwhile, and an earlier owner stops.
     async fn won(&mut self, fence: u64) {
+        self.shared.peers.own(Some(fence));
         if !follow::renew(&self.shared).await {
-            return;
+            return self.shared.peers.own(None);
         }
         self.fence = Some(fence);
         // An owner that was never heard may have given orders until now.
@@ -197,7 +213,6 @@
         self.last_orders = self.last_orders.max(heard);
         self.formations.clear();
         self.probes.clear();
-        self.shared.peers.own(self.fence);
         self.shared.journal.note(&Event::Won { fence });
     }
 
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -124,6 +124,12 @@
         alive.map(candidate).collect()
     }
 
+    /// Whether the start `life` of the peer `name` is alive.
+    pub(crate) fn lives(&self, now: Time, name: &str, life: u64) -> bool {
+        let state = self.state();
+        state.peers.get(name).is_some_and(|it| it.is_alive(now) && it.life == life && !it.leaving)
+    }
+
     /// The highest fencing token under which a living peer gives orders.
     pub(crate) fn owner(&self, now: Time) -> Option<u64> {
         let state = self.state();
