Let an instance leave its replica before it is used for another one, whoever formed that

Causes: what happens to a head does not show in its members, so that a member can't vouch for its replica; a head that is ready may be opening, and its count says so already; a replica was over for its members when its head was not seen in it, which a list can also show that is late; and an owner adopted a replica of instances that it was forming another one of, opened the one and formed the other.

Now an instance that may belong to a replica which serves leaves it first, by an order of its own, and is used once it has answered or shows it; what this owner formed itself and gave up is left and joined in one go, on count and count + 1. No reason for the end of a replica frees its members without that any more. A replica is not adopted while this owner forms another one of an instance of it. Adopting comes after advancing, so that what has just been given up doesn't hide it. An instance that was contested is left alone for 0.6 s instead of 1.5 s, longer than the list lags.

--- a/decision/src/gateway/fleet.rs
+++ b/decision/src/gateway/fleet.rs
@@ -75,6 +75,18 @@
     pub state: State,
 }
 
+impl Member {
+    /// Name and epoch of its replica.
+    pub(crate) fn key(&self) -> (Arc<str>, u64) {
+        (self.group.clone(), self.epoch)
+    }
+
+    /// Whether it is a member of the replica with this name and epoch.
+    pub(crate) fn is_of(&self, (group, epoch): &(Arc<str>, u64)) -> bool {
+        self.group == *group && self.epoch == *epoch
+    }
+}
+
 /// How far a member of a replica is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 
 pub use change::{Cause, Change, Reason, Step};
-pub use order::{Action, Close, Order, Premise, Taken};
+pub use order::{Action, Close, Order, Premise, Taken, Verdict};
 
 use crate::gateway::engine::Engine;
 use crate::gateway::fleet::{Instance, Phase, Presence, State};
@@ -163,7 +163,7 @@
             settle: Duration::from_millis(400),
             vouched: Duration::from_millis(2_000),
             left: Duration::from_millis(1_500),
-            contested: Duration::from_millis(1_500),
+            contested: Duration::from_millis(600),
             dead: Duration::from_secs(4),
         }
     }
@@ -296,8 +296,8 @@
             self.loads.extend(std::iter::repeat_n(last, self.load_limit));
         }
         let mut actions = Vec::new();
-        self.adopt(now, engine, &all);
         self.advance(now, engine, &all, &mut actions);
+        self.adopt(now, engine, &all);
         let mut free = self.free(now, &all, &mut actions);
         if all.known.len() > self.known {
             self.grown = now;
@@ -349,6 +349,11 @@
         self.fence * EPOCHS + self.counter
     }
 
+    /// The first epoch of this owner.
+    fn own(&self) -> u64 {
+        self.fence * EPOCHS
+    }
+
     /// Sends an order unless the same one was sent a moment ago.
     fn send(
         &mut self,
@@ -357,6 +362,37 @@
         id: &Arc<str>,
         order: Order,
         actions: &mut Vec<Action>,
+    ) {
+        self.send_if(now, all, id, order, None, actions);
+    }
+
+    /// Lets an instance join a replica, if the premise is true.
+    fn join(
+        &mut self,
+        now: Time,
+        all: &Instances<'_>,
+        id: &Arc<str>,
+        (key, group): (&Key, &Group),
+        actions: &mut Vec<Action>,
+    ) {
+        let order = Order::Join {
+            group: key.0.clone(),
+            epoch: key.1,
+            model: group.model.clone(),
+            members: group.members.clone(),
+        };
+        let premise = group.premise(key, id, self.own());
+        self.send_if(now, all, id, order, premise, actions);
+    }
+
+    fn send_if(
+        &mut self,
+        now: Time,
+        all: &Instances<'_>,
+        id: &Arc<str>,
+        order: Order,
+        premise: Option<Premise>,
+        actions: &mut Vec<Action>,
     ) {
         let Some(instance) = all.recall(id) else { return };
         let repeat = self.settings.repeat;
@@ -365,7 +401,6 @@
             return;
         }
         self.sent.insert(id.clone(), Sent { at: now, order: order.clone() });
-        let premise = Premise::of(&order, instance, self.fence * EPOCHS);
         actions.push(Action { id: id.clone(), address: instance.address, order, premise });
     }
 
@@ -374,6 +409,11 @@
         !self.is_dead(now, instance) && (all.get(id).is_some() || self.is_vouched(instance))
     }
 
+    /// Whether an instance is a member of a replica that is known and that it has not left.
+    fn is_taken(&self, id: &Arc<str>) -> bool {
+        self.groups.values().any(|it| it.members.contains(id) && !it.gone.contains(id))
+    }
+
     fn is_contested(&self, instance: &Instance) -> bool {
         self.contested.get(&instance.id).is_some_and(|it| it.born == instance.born)
     }
@@ -429,6 +469,12 @@
         }
     }
 
+    /// What is taken for granted of a member that is to join.
+    fn premise(&self, key: &Key, id: &str, own: u64) -> Option<Premise> {
+        let (_, born) = self.places().find(|(it, _)| ***it == *id)?;
+        Some(Premise { born, joins: key.clone(), own })
+    }
+
     fn end(&mut self, now: Time) {
         self.stage = Stage::Ending;
         self.ended = now;
--- a/decision/src/gateway/formation/adopt.rs
+++ b/decision/src/gateway/formation/adopt.rs
@@ -1,6 +1,7 @@
 //! Which replicas of an earlier owner are taken over.
 
 use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
 
 use super::change::Step;
 use super::view::Instances;
@@ -16,7 +17,7 @@
         let mut seen: BTreeMap<Key, Vec<&Instance>> = BTreeMap::new();
         for (instance, _) in all.known.values() {
             let Some(member) = &instance.member else { continue };
-            let key = (member.group.clone(), member.epoch);
+            let key = member.key();
             if self.left.contains_key(&(instance.id.clone(), key.clone())) {
                 continue;
             }
@@ -26,6 +27,10 @@
             }
         }
         for (key, mut members) in seen {
+            // Orders to both replicas would undo each other.
+            if members.iter().any(|it| self.is_to_join(&it.id)) {
+                continue;
+            }
             members.sort_by_key(|it| it.member.as_ref().map(|it| it.rank));
             let Some(model) = members[0].model.as_deref().and_then(|it| engine.model(it)) else {
                 continue;
@@ -58,4 +63,9 @@
             self.groups.insert(key, group);
         }
     }
+
+    fn is_to_join(&self, id: &Arc<str>) -> bool {
+        let mut forming = self.groups.values().filter(|it| it.stage == Stage::Forming);
+        forming.any(|it| it.members.contains(id))
+    }
 }
--- a/decision/src/gateway/formation/change.rs
+++ b/decision/src/gateway/formation/change.rs
@@ -106,12 +106,6 @@
 }
 
 impl Reason {
-    /// Whether the members of a replica that is over for this reason can be used at once: its
-    /// head is known not to serve. The others leave it first.
-    pub(super) fn frees_members(self) -> bool {
-        matches!(self, Reason::HeadLeft | Reason::Restarted)
-    }
-
     /// Its name in the log.
     pub fn name(self) -> &'static str {
         match self {
--- a/decision/src/gateway/formation/life.rs
+++ b/decision/src/gateway/formation/life.rs
@@ -7,7 +7,7 @@
 use super::view::{Instances, has};
 use super::{Formation, Group, Key, Stage};
 use crate::gateway::engine::Engine;
-use crate::gateway::fleet::{Instance, Phase, Presence, State};
+use crate::gateway::fleet::{Phase, Presence, State};
 use crate::prelude::*;
 
 impl Formation {
@@ -35,10 +35,6 @@
                 self.groups.insert(key, group);
                 continue;
             };
-            if cause.reason.frees_members() {
-                let members = group.members.iter().map(|id| ((id.clone(), key.clone()), now));
-                self.left.extend(members);
-            }
             self.note(&key, &group.model, Step::Over(cause));
         }
     }
@@ -73,25 +69,28 @@
             return None;
         }
         let missing = group.members.iter().zip(&states).filter(|(_, it)| it.is_none());
-        let missing: Vec<_> = missing.map(|(id, _)| id).collect();
-        let contested = |id: &&Arc<str>| all.recall(id).is_some_and(|it| self.is_contested(it));
-        if let Some(id) = missing.iter().copied().find(contested) {
+        let missing: Vec<_> = missing.map(|(id, _)| id.clone()).collect();
+        if let Some(id) = missing.iter().find(|it| self.is_elsewhere(all, key, group, it)) {
             let cause = Cause::of(id, Reason::Contested);
             self.end(now, key, group, cause);
             return None;
         }
         for id in missing {
-            let order = Order::Join {
-                group: key.0.clone(),
-                epoch: key.1,
-                model: group.model.clone(),
-                members: group.members.clone(),
-            };
-            self.send(now, all, id, order, actions);
+            self.join(now, all, &id, (key, group), actions);
         }
         None
     }
 
+    /// Whether a member that is to join is not what it was taken for, by what it said to an order
+    /// or by what the list shows since.
+    fn is_elsewhere(&self, all: &Instances<'_>, key: &Key, group: &Group, id: &Arc<str>) -> bool {
+        let Some(instance) = all.recall(id) else { return false };
+        let member = instance.member.as_ref();
+        let member = member.filter(|it| !self.left.contains_key(&(id.clone(), it.key())));
+        let allowed = group.premise(key, id, self.own()).is_none_or(|it| it.allows(member));
+        self.is_contested(instance) || !allowed
+    }
+
     /// Opens a replica that is whole, and begins its end if it isn't any more.
     pub(super) fn whole(
         &mut self,
@@ -155,8 +154,6 @@
             let here = it.fabric == leaving.fabric && it.phase == Phase::Ready;
             here && has(it, &group.model) && !self.is_dead(now, it)
         });
-        let taken =
-            |it: &Instance| self.groups.values().any(|group| group.members.contains(&it.id));
-        free.filter(|it| !taken(it) && !group.members.contains(&it.id)).count()
+        free.filter(|it| !self.is_taken(&it.id) && !group.members.contains(&it.id)).count()
     }
 }
--- a/decision/src/gateway/formation/order.rs
+++ b/decision/src/gateway/formation/order.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::gateway::fleet::{Instance, Report, State};
+use crate::gateway::fleet::{Member, Report, State};
+
+/// First letter of the names of spares' replicas.
+const SPARE: char = 's';
 
 /// An order to one instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -98,31 +101,70 @@
 pub struct Premise {
     /// The start of it.
     pub born: u64,
-    /// The replica that it may still be a member of, since that serves no more.
-    pub was: Option<(Arc<str>, u64)>,
-    /// The first epoch of this owner. What it formed itself and uses again never served.
+    /// The replica that it is to join, which it may have done already.
+    pub joins: (Arc<str>, u64),
+    /// The first epoch of this owner. What it formed itself and uses again has not served.
     pub own: u64,
 }
 
+/// What becomes of an order by what the instance says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is given.
+    Free,
+    /// The instance leaves its replica first, by this order.
+    Bound(Order),
+    /// The instance is not what the plan took it for.
+    Contested,
+}
+
 impl Premise {
-    /// What `order` takes for granted of an instance that looks like this, for the owner whose first
-    /// epoch is `own`. None if it only concerns the replica that it names.
-    pub(super) fn of(order: &Order, instance: &Instance, own: u64) -> Option<Premise> {
-        let Order::Join { .. } = order else { return None };
-        let was = instance.member.as_ref().map(|it| (it.group.clone(), it.epoch));
-        Some(Premise { born: instance.born, was, own })
+    /// Whether an instance that says this can be used.
+    pub fn judge(&self, report: &Report) -> Verdict {
+        match &report.member {
+            _ if report.born != self.born => Verdict::Contested,
+            Some(it) if !self.allows(Some(it)) => Verdict::Contested,
+            Some(it) if may_serve(it) && !it.is_of(&self.joins) => {
+                Verdict::Bound(Order::leave(&it.key()))
+            }
+            _ => Verdict::Free,
+        }
     }
 
-    /// Whether it is true by what the instance says of itself.
-    pub fn holds(&self, report: &Report) -> bool {
-        let Some(member) = &report.member else { return report.born == self.born };
-        let serves = matches!(member.state, State::Open | State::Closing);
-        let was = self.was.as_ref();
-        let was =
-            was.is_some_and(|(group, epoch)| *group == member.group && *epoch == member.epoch);
-        // What happens to a head shows in the orders that it takes, what happens to the head of a
-        // member does not.
-        let free = member.rank == 0 || was || member.epoch >= self.own;
-        report.born == self.born && free && !serves
+    /// Whether an instance in this place may be used, perhaps after it has left.
+    pub(super) fn allows(&self, member: Option<&Member>) -> bool {
+        let Some(member) = member else { return true };
+        let own = member.epoch >= self.own && !serves(member);
+        own || member.is_of(&self.joins) || !may_serve(member)
     }
 }
+
+/// Whether an instance is the head of a replica that serves.
+pub(super) fn serves(member: &Member) -> bool {
+    matches!(member.state, State::Open | State::Closing)
+}
+
+/// Whether the replica of an instance may serve, or begin to without an order that the instance
+/// would count. What happens to its head doesn't show in a member, and a head that is ready may be
+/// opening. A spare's replica never serves.
+pub(super) fn may_serve(member: &Member) -> bool {
+    match member.state {
+        State::Open | State::Closing => true,
+        State::Ready => !is_spare(&member.group),
+        State::Joining | State::Broken => member.rank > 0,
+    }
+}
+
+/// The name of a replica.
+pub(super) fn replica(epoch: u64) -> Arc<str> {
+    format!("r{epoch}").into()
+}
+
+/// The name of a replica of one that never serves.
+pub(super) fn spare(epoch: u64) -> Arc<str> {
+    format!("{SPARE}{epoch}").into()
+}
+
+fn is_spare(group: &str) -> bool {
+    group.starts_with(SPARE)
+}
--- a/decision/src/gateway/formation/staging.rs
+++ b/decision/src/gateway/formation/staging.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use super::order::{Action, Order};
+use super::order::{self, Action, Order, Premise};
 use super::view::{Instances, has, staged};
 use super::weight::{cost, is_due};
 use super::{Formation, Group, Sent, Stage};
@@ -74,13 +74,15 @@
                 continue;
             }
             let epoch = self.next_epoch();
+            let group = order::spare(epoch);
             let order = Order::Join {
-                group: format!("s{epoch}").into(),
+                group: group.clone(),
                 epoch,
                 model: model.clone(),
                 members: vec![spare.id.clone()],
             };
-            self.send(now, all, &spare.id, order, actions);
+            let premise = Premise { born: spare.born, joins: (group, epoch), own: self.own() };
+            self.send_if(now, all, &spare.id, order, Some(premise), actions);
         }
     }
 
--- a/decision/src/gateway/formation/supply.rs
+++ b/decision/src/gateway/formation/supply.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 
 use super::change::{Reason, Step};
-use super::order::{Action, Order};
+use super::order::{Action, Order, may_serve, replica, serves};
 use super::view::{Instances, has, staged};
 use super::weight::{FAR_AHEAD, cost, is_in_the_way, last_cost};
 use super::{Formation, Group, Stage};
 use crate::gateway::engine::{Engine, Model};
-use crate::gateway::fleet::{Instance, Member, Phase, Presence, State};
+use crate::gateway::fleet::{Instance, Member, Phase, Presence};
 use crate::prelude::*;
 
 impl Formation {
@@ -34,17 +34,15 @@
             if !usable || taken.contains(&*instance.id) {
                 continue;
             }
-            // What is left of a replica that isn't known leaves it before it is used again.
-            let left = |it: &Member| {
-                let key = (it.group.clone(), it.epoch);
-                self.left.contains_key(&(instance.id.clone(), key))
-            };
+            // What is left of a replica that isn't known leaves it before it is used again. One of
+            // this owner's own is left as soon as another one is joined.
+            let left = |it: &Member| self.left.contains_key(&(instance.id.clone(), it.key()));
             if let Some(member) = &instance.member
                 && !left(member)
-                && (member.rank > 0 || matches!(member.state, State::Open | State::Closing))
+                && may_serve(member)
+                && (member.epoch < self.own() || serves(member))
             {
-                let key = (member.group.clone(), member.epoch);
-                strays.push((instance.id.clone(), Order::leave(&key)));
+                strays.push((instance.id.clone(), Order::leave(&member.key())));
                 continue;
             }
             free.entry(fabric.clone()).or_default().push(instance);
@@ -140,26 +138,15 @@
         // Requests go to the head, which therefore has to be listed.
         chosen.sort_by_key(|it| all.get(&it.id).is_none());
         let epoch = self.next_epoch();
-        let group: Arc<str> = format!("r{epoch}").into();
+        let group = replica(epoch);
         for instance in chosen.iter().filter(|it| !has(it, &model.name)) {
             self.loads.push_back(now);
             self.loading.insert(instance.id.clone(), (now + model.load, model.name.clone()));
         }
-        let members: Vec<Arc<str>> = chosen.iter().map(|it| it.id.clone()).collect();
-        for id in &members {
-            let order = Order::Join {
-                group: group.clone(),
-                epoch,
-                model: model.name.clone(),
-                members: members.clone(),
-            };
-            self.sent.remove(id);
-            self.send(now, all, id, order, actions);
-        }
         let formed = Group {
             model: model.name.clone(),
+            members: chosen.iter().map(|it| it.id.clone()).collect(),
             born: chosen.iter().map(|it| it.born).collect(),
-            members,
             since: now,
             ended: now,
             unwanted: false,
@@ -167,6 +154,10 @@
             stage: Stage::Forming,
         };
         let key = (group, epoch);
+        for id in &formed.members {
+            self.sent.remove(id);
+            self.join(now, all, id, (&key, &formed), actions);
+        }
         self.note(&key, &model.name, Step::Formed);
         self.groups.insert(key, formed);
     }
--- a/decision/tests/gateway/premise.rs
+++ b/decision/tests/gateway/premise.rs
@@ -1,36 +1,44 @@
 use decision::gateway::fleet::{Member, Report, State};
-use decision::gateway::formation::Premise;
+use decision::gateway::formation::{Order, Premise, Verdict};
 use rstest::rstest;
 
-fn premise() -> Premise {
-    Premise { born: 1, was: Some(("old".into(), 5)), own: 2_000_000 }
+fn place(group: &str, epoch: u64, rank: u32, state: State) -> Option<Member> {
+    Some(Member { group: group.into(), epoch, rank, state })
 }
 
-fn head(group: &str, epoch: u64, state: State) -> Option<Member> {
-    Some(Member { group: group.into(), epoch, rank: 0, state })
+/// The verdict of an owner whose first epoch is 6 on an instance that is to join `r7`.
+fn verdict(member: Option<Member>, born: u64) -> Verdict {
+    let premise = Premise { born: 1, joins: ("r7".into(), 7), own: 6 };
+    let report = Report { born, staged: Vec::new(), model: None, member, orders: Some(3) };
+    premise.judge(&report)
 }
 
-fn member(group: &str, epoch: u64) -> Option<Member> {
-    Some(Member { group: group.into(), epoch, rank: 1, state: State::Ready })
+#[rstest]
+#[case::that_is_free(None)]
+#[case::that_is_a_spare(place("s5", 5, 0, State::Ready))]
+#[case::that_has_joined_already(place("r7", 7, 1, State::Ready))]
+#[case::whose_replica_is_broken(place("r5", 5, 0, State::Broken))]
+#[case::that_joins_another_as_its_head(place("r5", 5, 0, State::Joining))]
+fn an_order_to_join_is_given_to_an_instance(#[case] member: Option<Member>) {
+    assert_eq!(verdict(member, 1), Verdict::Free);
 }
 
 #[rstest]
-#[case::that_is_free(None, 1, true)]
-#[case::whose_replica_serves_no_more(member("old", 5), 1, true)]
-#[case::that_was_never_opened(head("other", 5, State::Ready), 1, true)]
-#[case::whose_replica_is_broken(head("old", 5, State::Broken), 1, true)]
-#[case::that_this_owner_had_join(member("new", 2_000_007), 1, true)]
-#[case::that_serves(head("old", 5, State::Open), 1, false)]
-#[case::that_serves_what_this_owner_formed(head("new", 2_000_007, State::Open), 1, false)]
-#[case::that_ends_what_it_runs(head("old", 5, State::Closing), 1, false)]
-#[case::of_another_epoch(member("old", 6), 1, false)]
-#[case::of_another_replica(member("other", 5), 1, false)]
-#[case::that_started_again(None, 2, false)]
-fn an_order_to_join_is_only_for_an_instance(
-    #[case] member: Option<Member>,
-    #[case] born: u64,
-    #[case] given: bool,
-) {
-    let report = Report { born, staged: Vec::new(), model: None, member, orders: Some(3) };
-    assert_eq!(premise().holds(&report), given);
+#[case::as_its_head(place("r6", 6, 0, State::Ready))]
+#[case::as_a_member(place("r6", 6, 1, State::Joining))]
+fn what_this_owner_formed_is_left_before_another_is_joined(#[case] member: Option<Member>) {
+    let leave = Order::Leave { group: "r6".into(), epoch: 6 };
+    assert_eq!(verdict(member, 1), Verdict::Bound(leave));
+}
+
+#[rstest]
+#[case::that_serves(place("r5", 5, 0, State::Open), 1)]
+#[case::that_serves_what_this_owner_formed(place("r6", 6, 0, State::Open), 1)]
+#[case::that_ends_what_it_runs(place("r5", 5, 0, State::Closing), 1)]
+#[case::that_may_be_opening(place("r5", 5, 0, State::Ready), 1)]
+#[case::whose_head_may_serve(place("r5", 5, 1, State::Ready), 1)]
+#[case::whose_head_may_have_been_opened(place("r5", 5, 1, State::Joining), 1)]
+#[case::that_started_again(None, 2)]
+fn no_order_to_join_is_given_to_an_instance(#[case] member: Option<Member>, #[case] born: u64) {
+    assert_eq!(verdict(member, born), Verdict::Contested);
 }
--- a/decision/tests/gateway/world/post.rs
+++ b/decision/tests/gateway/world/post.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use decision::gateway::fleet::{Instance, Report};
-use decision::gateway::formation::{Action, Order, Taken};
+use decision::gateway::formation::{Action, Order, Taken, Verdict};
 use rand::RngExt as _;
 
 use super::host::{Host, Message, Terms};
@@ -32,6 +32,8 @@
     fence: u64,
     action: Action,
     born: u64,
+    /// The order to leave that comes before it.
+    leave: Option<Order>,
     /// The orders that the instance must have taken.
     expect: Option<u64>,
     /// How often the instance was asked for its report.
@@ -72,7 +74,8 @@
         );
         self.judge.note(&action.id, line);
         let asks = action.premise.is_some();
-        let parcel = Parcel { fence, action, born, expect: None, tries: 0, answered: true };
+        let parcel =
+            Parcel { fence, action, born, leave: None, expect: None, tries: 0, answered: true };
         if asks { self.inquire(0, parcel) } else { self.send(parcel) }
     }
 
@@ -100,17 +103,31 @@
         if let Some(wakes) = owner.and_then(|it| it.asleep) {
             return self.push(wakes - self.now + 1, Event::Report(parcel, report.clone()));
         }
-        if parcel.action.premise.as_ref().is_some_and(|it| !it.holds(report)) {
-            let (id, fence) = (&parcel.action.id, parcel.fence);
-            let line = format!("{:>6} owner {fence} withholds it: {id} is {report:?}", self.now);
-            self.judge.note(&parcel.action.id, line);
-            return self.conclude(0, parcel, Outcome::Contested);
+        parcel.tries += 1;
+        let verdict = parcel.action.premise.as_ref().map(|it| it.judge(report));
+        if verdict == Some(Verdict::Contested) {
+            return self.withhold(parcel, report);
         }
+        parcel.leave = match verdict {
+            Some(Verdict::Bound(order)) => Some(order),
+            _ => None,
+        };
         parcel.expect = report.orders;
-        parcel.tries += 1;
         self.send(parcel);
     }
 
+    /// Asks again, or gives up, since the instance is not what the plan took it for.
+    fn withhold(&mut self, parcel: Parcel, report: &Report) {
+        let (id, fence) = (&parcel.action.id, parcel.fence);
+        let line = format!("{:>6} owner {fence} withholds it: {id} is {report:?}", self.now);
+        self.judge.note(id, line);
+        let started = parcel.action.premise.as_ref().is_some_and(|it| it.born != report.born);
+        match started || parcel.tries >= TRIES {
+            true => self.conclude(0, parcel, Outcome::Contested),
+            false => self.inquire(PAUSE, parcel),
+        }
+    }
+
     fn send(&mut self, mut parcel: Parcel) {
         let lost = self.random.random_bool(self.lost_share);
         let range = if lost { self.manner.late.clone() } else { self.manner.travel.clone() };
@@ -123,14 +140,19 @@
     }
 
     /// An order arrives at its instance, which takes or refuses it.
-    fn deliver(&mut self, parcel: Parcel) {
+    fn deliver(&mut self, mut parcel: Parcel) {
         let taken = self.carry_out(&parcel);
         if !parcel.answered {
             return;
         }
-        let again = taken == Some(Taken::Conflict) && (1..TRIES).contains(&parcel.tries);
+        if taken == Some(Taken::Yes) && parcel.leave.take().is_some() {
+            parcel.expect = parcel.expect.map(|it| it + 1);
+            return self.send(parcel);
+        }
+        let refused = taken == Some(Taken::Conflict) && parcel.tries > 0;
         match taken {
-            Some(_) if again => self.inquire(PAUSE, parcel),
+            Some(_) if refused && parcel.tries < TRIES => self.inquire(PAUSE, parcel),
+            Some(_) if refused => self.conclude(1, parcel, Outcome::Contested),
             Some(taken) => self.conclude(1, parcel, Outcome::Answered(taken)),
             None => self.conclude(1, parcel, Outcome::Unreachable),
         }
@@ -146,7 +168,8 @@
 
     /// Carries an order out. Panics if that breaks a rule.
     fn carry_out(&mut self, parcel: &Parcel) -> Option<Taken> {
-        let Parcel { fence, action: Action { id, order, .. }, expect, .. } = parcel;
+        let Parcel { fence, action: Action { id, order, .. }, leave, expect, .. } = parcel;
+        let order = leave.as_ref().unwrap_or(order);
         let terms = Terms {
             engine: &self.engine,
             fencing: self.manner.fencing,
--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use decision::gateway::fleet::Report;
-use decision::gateway::formation::{Action, Order, Premise, Taken};
+use decision::gateway::formation::{Action, Order, Premise, Taken, Verdict};
 use decision::prelude::*;
 use tokio::time::sleep;
 
@@ -77,19 +77,16 @@
             Ok(report) => report,
             Err(failure) => return failure,
         };
-        if !premise.holds(&report) {
-            seen.push(describe_report(&report));
-            if report.born != premise.born {
-                break;
-            }
+        let verdict = premise.judge(&report);
+        seen.push(describe_report(&report));
+        if verdict == Verdict::Contested && report.born == premise.born {
             continue;
         }
-        if shared.peers.owned() != Some(fence) {
-            seen.push("no longer the owner".to_owned());
+        if verdict == Verdict::Contested || shared.peers.owned() != Some(fence) {
             break;
         }
-        let (outcome, result) = send(shared, action, fence, report.orders).await;
-        seen.push(format!("{}, {result}", describe_report(&report)));
+        let (outcome, result) = give_after(shared, action, fence, verdict, report.orders).await;
+        seen.push(result);
         if outcome != Outcome::Answered(Taken::Conflict) {
             return (outcome, seen.join("; "));
         }
@@ -97,6 +94,26 @@
     (Outcome::Contested, seen.join("; "))
 }
 
+/// Gives the order to an instance that has taken so many, once it has left its replica if need be.
+async fn give_after<P: Platform>(
+    shared: &Shared<P>,
+    action: &Action,
+    fence: u64,
+    verdict: Verdict,
+    orders: Option<u64>,
+) -> (Outcome, String) {
+    let mut after = orders;
+    if let Verdict::Bound(order) = verdict {
+        let leave = Action { order, ..action.clone() };
+        let (outcome, result) = send(shared, &leave, fence, after).await;
+        if outcome != Outcome::Answered(Taken::Yes) {
+            return (outcome, result);
+        }
+        after = after.map(|it| it + 1);
+    }
+    send(shared, action, fence, after).await
+}
+
 async fn ask<P: Platform>(
     shared: &Shared<P>,
     action: &Action,
