Let as many replicas give way as the model that is missed needs

Cause: one replica at most gave way in a fabric domain, and only if its model was far ahead by cost. A domain of three small replicas and two spares, or one of two small replicas and five spares beside one without small ones, never changed.

Now the fewest replicas give way that make room together, if their models stay ahead or if they have room in another fabric domain. Ruled out: forming the small one elsewhere first, since instances rather wait for what is missed most.

--- a/decision/src/gateway/formation/supply.rs
+++ b/decision/src/gateway/formation/supply.rs
@@ -7,7 +7,7 @@
 use super::order::{Action, Order, may_serve, replica, serves};
 use super::view::{Instances, has, staged};
 use super::weight::{FAR_AHEAD, cost, is_in_the_way, last_cost};
-use super::{Formation, Group, Stage};
+use super::{Formation, Group, Key, Stage};
 use crate::gateway::engine::{Engine, Model};
 use crate::gateway::fleet::{Instance, Member, Phase, Presence};
 use crate::prelude::*;
@@ -162,7 +162,7 @@
         self.groups.insert(key, formed);
     }
 
-    /// Ends a replica of a model that is far ahead, where its instances would complete one of the
+    /// Ends replicas of models that are far ahead, where their instances would complete one of the
     /// model that is missed most.
     pub(super) fn rebalance(
         &mut self,
@@ -176,30 +176,56 @@
         let missed =
             engine.models.iter().min_by(|a, b| cost(a, &counts).total_cmp(&cost(b, &counts)));
         let Some(missed) = missed.filter(|_| settled && !self.loads_free) else { return };
-        let ahead = |it: &Group| {
-            let model = engine.model(&it.model).filter(|it| it.name != missed.name)?;
-            let ratio = last_cost(model, &counts) / cost(missed, &counts);
-            (ratio >= FAR_AHEAD).then_some(model.size)
-        };
         for (fabric, instances) in free {
-            let long = self
-                .calm
-                .get(fabric)
-                .is_some_and(|(_, since)| now.since(*since) >= self.settings.rebalance);
-            if !long || self.is_hasty(all, fabric) || self.is_served(all, fabric, missed) {
+            let calm = self.calm.get(fabric);
+            let long = calm.is_some_and(|(_, it)| now.since(*it) >= self.settings.rebalance);
+            let wanted = !self.is_served(all, fabric, missed) && instances.len() < missed.size;
+            if !long || !wanted || self.is_hasty(all, fabric) {
                 continue;
             }
-            let group = self.groups.iter_mut().find(|(_, it)| {
-                let size = ahead(it).filter(|_| it.is_in(all, fabric));
-                size.is_some_and(|size| {
-                    instances.len() < missed.size && instances.len() + size >= missed.size
-                })
-            });
-            if let Some((key, group)) = group {
+            let keys = self.in_the_way(engine, all, fabric, missed, free);
+            for key in &keys {
+                let Some(group) = self.groups.get_mut(key) else { continue };
                 group.give_way(now);
-                let (key, model) = (key.clone(), group.model.clone());
-                return self.note(&key, &model, Step::Ending(Reason::GivesWay.into()));
+                let model = group.model.clone();
+                self.note(key, &model, Step::Ending(Reason::GivesWay.into()));
+            }
+            if !keys.is_empty() {
+                return;
+            }
+        }
+    }
+
+    /// The fewest replicas in `fabric` whose instances, beside those that are free, make one of
+    /// `missed`: of models that stay ahead of it, or that have room in another fabric domain.
+    fn in_the_way(
+        &self,
+        engine: &Engine,
+        all: &Instances<'_>,
+        fabric: &Arc<str>,
+        missed: &Model,
+        free: &BTreeMap<Arc<str>, Vec<&Instance>>,
+    ) -> Vec<Key> {
+        let mut counts = self.counts();
+        let least = cost(missed, &counts);
+        let mut room = free.get(fabric).map_or(0, Vec::len);
+        let mut keys = Vec::new();
+        for (key, group) in self.groups.iter().filter(|(_, it)| it.is_in(all, fabric)) {
+            if room >= missed.size {
+                break;
+            }
+            let Some(model) = engine.model(&group.model) else { continue };
+            let ahead = last_cost(model, &counts) >= FAR_AHEAD * least;
+            let elsewhere = |(it, free): (&Arc<str>, &Vec<&Instance>)| {
+                it != fabric && free.len() >= model.size && !self.is_served(all, it, model)
+            };
+            if model.name == missed.name || !(ahead || free.iter().any(elsewhere)) {
+                continue;
             }
+            counts.entry(model.name.clone()).and_modify(|it| *it -= 1);
+            room += model.size;
+            keys.push(key.clone());
         }
+        if room >= missed.size { keys } else { Vec::new() }
     }
 }
