Let nothing known of the store be replaced by something older

Targets that had left got requests, a failure domain that was out got requests, and an owner took an open head for free and ordered it and its member to join another replica.

Cause: whatever was told was applied by itself to the mirror and to what the entry acts on. The mirror ignored changes that ended before its revision, the fleet, the evacuations and the entries took them. A whole list replaced everything, however old. A watch or a question to the peer that was asked before the owner's list and answered after it took the fleet back; through a peer it stayed so, since the next question starts from the mirror's revision. After a history that was gone the mirror was empty, so that an older list, or a few changes without any list, stood for the whole.

Now all that is told passes through the mirror, which keeps each object with its revision and what is complete up to which revision. Only what is later than that goes on to the fleet, evacuations, entries and the configuration; ages come from the mirror too. What ends before what is known is dropped, confirms no age, and is counted (rhubarblatch_outdated_total by kind) and logged (`outdated` with the kind and both revisions; not for an answer that brings nothing). A put counts if it is later than the object known, or than the mirror's revision if none is known: an older put revives nothing. What is gone as of a revision is removed if the object known is not later. A history that is gone only makes the kind be listed anew. An instance that is listed again unchanged no longer counts as cold anew.

Why it works: a kind's state is complete up to its revision and the revision never goes back, so that whatever was put or removed up to it is known or was superseded.

Ruled out: a follower that reads the store itself stays wrong only until its next answer, since it goes on from the revision of the older one.

Left: a list of several parts names the revision of its first part. An object that a later part no longer shows may come back by changes that end between the two, until the next ones. Needs more than about 500 objects of a kind.

--- a/gateway/src/apply.rs
+++ b/gateway/src/apply.rs
@@ -2,87 +2,73 @@
 
 use std::sync::Arc;
 
-use decision::gateway::fleet::{Change, Instance};
+use decision::gateway::fleet::Change;
 use decision::gateway::route::Table;
 use decision::prelude::*;
 
 use crate::journal::Event;
+use crate::mirror::{Mirror, Outdated};
 use crate::port::{Changes, Entry, Item, Kind, Object};
-use crate::state::Shared;
+use crate::state::{Knowledge, Shared};
 
 /// Takes a whole list, known to hold at `known`.
-pub(crate) fn list<P>(
-    shared: &Shared<P>,
-    kind: Kind,
-    revision: u64,
-    known: Time,
-    items: Vec<Item>,
-) {
-    tell_unreadable(shared, kind, &items);
-    shared.mirror().list(kind, revision, known, &items);
+pub(crate) fn list<P>(shared: &Shared<P>, kind: Kind, revision: u64, known: Time, items: &[Item]) {
+    let mut mirror = shared.mirror();
+    match mirror.list(kind, revision, known, items) {
+        Ok(news) => take(shared, &mirror, kind, news),
+        Err(outdated) => tell_outdated(shared, kind, outdated),
+    }
+    drop(mirror);
     shared.mirrored.notify_waiters();
-    let now = shared.now();
+}
+
+/// Takes changes, known to be all until `known`.
+pub(crate) fn changes<P>(shared: &Shared<P>, kind: Kind, known: Time, changes: &Changes) {
+    let mut mirror = shared.mirror();
+    match mirror.change(kind, known, changes) {
+        Ok(news) => take(shared, &mirror, kind, news),
+        Err(_) if changes.is_empty() => {}
+        Err(outdated) => tell_outdated(shared, kind, outdated),
+    }
+}
+
+/// Takes what is new of a kind. All that this entry knows of the store, and since when, comes from
+/// the mirror, so that the two can't disagree.
+fn take<P>(shared: &Shared<P>, mirror: &Mirror, kind: Kind, news: Changes) {
     let mut knowledge = shared.knowledge();
+    confirm(&mut knowledge, mirror, kind, shared.now());
+    if news.is_empty() {
+        return;
+    }
+    tell_unreadable(shared, kind, &news.put);
     match kind {
         Kind::Config => {
-            knowledge.config_at = knowledge.config_at.max(Some(known));
             drop(knowledge);
-            return items.into_iter().for_each(|it| configure(shared, it));
+            return news.put.into_iter().for_each(|it| configure(shared, it));
         }
         Kind::Instances => {
-            knowledge.fleet_at = knowledge.fleet_at.max(Some(known));
-            knowledge.fleet_since.get_or_insert(now);
-            knowledge.fleet.list(now, items.into_iter().filter_map(instance));
+            let changes = news.put.into_iter().map(instance);
+            let changes = changes.chain(news.gone.into_iter().map(Change::Gone));
+            changes.for_each(|it| knowledge.fleet.change(shared.now(), it));
         }
-        Kind::Evacuations => knowledge.fleet.evacuate(items.into_iter().map(|it| it.name)),
-        Kind::Entries => knowledge.entries = items.into_iter().filter_map(entry).collect(),
+        Kind::Evacuations => knowledge.fleet.evacuate(mirror.items(kind).map(|it| it.name.clone())),
+        Kind::Entries => knowledge.entries = mirror.items(kind).filter_map(entry).collect(),
         Kind::Leases => return,
     }
     drop(knowledge);
+    shared.mirrored.notify_waiters();
     shared.refresh();
 }
 
-/// Takes changes, known to be all until `known`.
-pub(crate) fn changes<P>(shared: &Shared<P>, kind: Kind, known: Time, changes: Changes) {
-    tell_unreadable(shared, kind, &changes.put);
-    shared.mirror().change(kind, known, &changes);
-    let some = !changes.is_empty();
-    if some {
-        shared.mirrored.notify_waiters();
-    }
-    let now = shared.now();
-    let mut knowledge = shared.knowledge();
-    let Changes { put, gone, .. } = changes;
+fn confirm(knowledge: &mut Knowledge, mirror: &Mirror, kind: Kind, now: Time) {
+    let Some(known) = mirror.known(kind) else { return };
     match kind {
-        Kind::Config => {
-            knowledge.config_at = knowledge.config_at.max(Some(known));
-            drop(knowledge);
-            return put.into_iter().for_each(|it| configure(shared, it));
-        }
+        Kind::Config => knowledge.config_at = Some(known),
         Kind::Instances => {
-            knowledge.fleet_at = knowledge.fleet_at.max(Some(known));
-            for item in put {
-                let name = item.name.clone();
-                let change = instance(item).map_or(Change::Gone(name), Change::Put);
-                knowledge.fleet.change(now, change);
-            }
-            gone.into_iter().for_each(|it| knowledge.fleet.change(now, Change::Gone(it)));
-        }
-        Kind::Evacuations if some => {
-            let mut out = knowledge.fleet.evacuated().clone();
-            out.extend(put.into_iter().map(|it| it.name));
-            out.retain(|it| !gone.contains(it));
-            knowledge.fleet.evacuate(out);
-        }
-        Kind::Entries => {
-            knowledge.entries.extend(put.into_iter().filter_map(entry));
-            gone.iter().for_each(|it| drop(knowledge.entries.remove(it)));
+            knowledge.fleet_at = Some(known);
+            knowledge.fleet_since.get_or_insert(now);
         }
-        Kind::Evacuations | Kind::Leases => return,
-    }
-    drop(knowledge);
-    if some {
-        shared.refresh();
+        Kind::Evacuations | Kind::Entries | Kind::Leases => {}
     }
 }
 
@@ -111,16 +97,34 @@
     }
 }
 
-fn instance(item: Item) -> Option<Instance> {
-    match item.object {
-        Object::Instance(instance) => Some(*instance),
-        _ => None,
+fn tell_outdated<P>(shared: &Shared<P>, kind: Kind, outdated: Outdated) {
+    let Outdated { told, known } = outdated;
+    shared.journal.note(&Event::Outdated { kind, told, known });
+    let labels = format!("kind=\"{}\"", label(kind));
+    shared.metrics.count("rhubarblatch_outdated_total", &labels);
+}
+
+fn label(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Config => "config",
+        Kind::Evacuations => "evacuations",
+        Kind::Instances => "instances",
+        Kind::Entries => "entries",
+        Kind::Leases => "leases",
     }
 }
 
-fn entry(item: Item) -> Option<(Arc<str>, Entry)> {
+/// An instance that can't be read names nothing to use.
+fn instance(item: Item) -> Change {
     match item.object {
-        Object::Entry(entry) => Some((item.name, entry)),
+        Object::Instance(instance) => Change::Put(*instance),
+        _ => Change::Gone(item.name),
+    }
+}
+
+fn entry(item: &Item) -> Option<(Arc<str>, Entry)> {
+    match &item.object {
+        Object::Entry(entry) => Some((item.name.clone(), entry.clone())),
         _ => None,
     }
 }
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -167,13 +167,13 @@
                     wait = self.wait();
                     // Without changes, the store answers once its wait is over, and not before.
                     let known = if some || self.shared.now() < held { asked } else { held };
-                    apply::changes(&self.shared, self.kind, known, changes);
+                    apply::changes(&self.shared, self.kind, known, &changes);
                     if some {
                         sleep(self.pace()).await;
                     }
                 }
                 Err(Error::Status(StatusCode::GONE)) => {
-                    return self.shared.mirror().forget(self.kind);
+                    return self.shared.mirror().cut(self.kind);
                 }
                 Err(error) => {
                     wait = SHORT_WAIT;
@@ -280,7 +280,7 @@
         }
     }
     let revision = first.unwrap_or_default();
-    apply::list(shared, kind, revision, asked, items);
+    apply::list(shared, kind, revision, asked, &items);
     Ok(revision)
 }
 
--- a/gateway/src/journal.rs
+++ b/gateway/src/journal.rs
@@ -40,6 +40,8 @@
     Lost { dependency: &'a str, kind: Kind, reason: &'a str },
     /// It can be read again.
     Regained { dependency: &'a str, kind: Kind, after_ms: u64 },
+    /// Something older than what is known was told, and not taken.
+    Outdated { kind: Kind, told: u64, known: u64 },
     /// A configuration is in force here.
     Configured { version: u64, routes: usize, workspaces: usize },
     /// The set of replicas that may get work has changed.
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -245,8 +245,8 @@
     let known = (asked + Duration::from_millis(u64::from(answer.held_ms))).back(age);
     for News { kind, list, changes } in answer.news {
         match list {
-            Some(items) => apply::list(shared, kind, changes.revision, known, items),
-            None => apply::changes(shared, kind, known, changes),
+            Some(items) => apply::list(shared, kind, changes.revision, known, &items),
+            None => apply::changes(shared, kind, known, &changes),
         }
     }
     Ok(())
