Give lapsed entries time to come back also when a peer tells of them

Callers saw, after an outage of the store, refusals or fewer targets for up to two seconds: entries of instances that lapsed during the outage left the list at once where a peer was heard before the store, instead of after the 2.5 s that they have to come back.

Cause: only a follower of the store noted that the list can be read again. An entry that a peer tells first took the removals as they came, and forgot the outage.

Now an entry that saw the store down, and whose last contact is longer ago than an outage in which entries lapse, notes it also before it takes what a peer tells.

Evidence: `entries_that_lapsed_in_an_outage_may_come_back_although_a_peer_tells_of_it_first` failed before (0 of 40 requests reached the target whose entry had lapsed) and passes, 10 runs of the file's 7 tests in a row.

Not covered: an entry that did not see the store down itself, whose peer did.

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -248,12 +248,20 @@
         let after_ms = u64::try_from(away.as_millis()).unwrap_or(u64::MAX);
         let event = Event::Regained { dependency: "store", kind: self.kind, after_ms };
         self.shared.journal.note(&event);
-        if self.kind == Kind::Instances && away > LAPSE_AFTER {
-            self.shared.knowledge().fleet.regain(now, LAPSE_GRACE);
+        if self.kind == Kind::Instances {
+            regain(&self.shared, away);
         }
     }
 }
 
+/// Notes that the instances can be read again, after the time `away`.
+pub(crate) fn regain<P>(shared: &Shared<P>, away: Duration) {
+    if away > LAPSE_AFTER {
+        let now = shared.now();
+        shared.knowledge().fleet.regain(now, LAPSE_GRACE);
+    }
+}
+
 /// Waits until the store does not answer.
 async fn down(reachable: &mut watch::Receiver<bool>) -> Error {
     // The scout lives as long as the follower that waits.
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -19,13 +19,13 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-use crate::apply;
 use crate::error::Call;
 use crate::follow::{KINDS, Source};
 use crate::journal::Event;
 use crate::mirror::News;
 use crate::port::{Kind, Platform};
 use crate::state::Shared;
+use crate::{apply, follow};
 
 /// Time for which a peer is not asked that could not tell.
 const DOUBT: Duration = Duration::from_secs(3);
@@ -241,6 +241,11 @@
     if age > bounds.relay_age() {
         return Err(Error::Old(age));
     }
+    if !shared.is_store_up() {
+        let contact = shared.mirror().known(Kind::Config);
+        let away = contact.map(|it| shared.now().since(it));
+        follow::regain(shared, away.unwrap_or_default());
+    }
     // It was told after the question had been held, of a time that lay `age` before.
     let known = (asked + Duration::from_millis(u64::from(answer.held_ms))).back(age);
     for News { kind, list, changes } in answer.news {
