Leave a line in the log when an answer's body cannot be written

What callers would see: an empty body, or an event without data, and nothing in any log that says why. Cause: a refusal and an event each took the default of a failed serialisation. Both now write through one function that logs the error. Not reproduced: their types are numbers, strings and names of kinds, which always have JSON text, so that no test can make it fail through the public interface; the tests of the bodies themselves are as before.

--- a/caller/src/event.rs
+++ b/caller/src/event.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use serde::Serialize;
 
-use crate::Refusal;
+use crate::{Refusal, json};
 
 /// One event of a stream. After [`Event::End`] or [`Event::Error`] nothing follows.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,15 +39,15 @@
     pub(crate) fn encode(&self) -> Bytes {
         let text = match self {
             Event::Token { offset, token } => {
-                let data = json(&Token { token });
+                let data = json::encode(&Token { token });
                 format!("event: token\nid: {offset}\ndata: {data}\n\n")
             }
             Event::End { tokens } => {
-                let data = json(&End { tokens: *tokens });
+                let data = json::encode(&End { tokens: *tokens });
                 format!("event: end\ndata: {data}\n\n")
             }
             Event::Error(refusal) => {
-                let data = json(&refusal.body());
+                let data = json::encode(&refusal.body());
                 format!("event: error\ndata: {data}\n\n")
             }
         };
@@ -59,8 +59,3 @@
         !matches!(self, Event::Token { .. })
     }
 }
-
-/// JSON text has no line breaks, so it is one `data` line.
-fn json(value: &impl Serialize) -> String {
-    serde_json::to_string(value).unwrap_or_default()
-}
--- a/caller/src/lib.rs
+++ b/caller/src/lib.rs
@@ -4,6 +4,7 @@
 mod body;
 pub mod event;
 pub mod handler;
+mod json;
 pub mod listener;
 pub mod refusal;
 pub mod request;
--- a/caller/src/refusal.rs
+++ b/caller/src/refusal.rs
@@ -7,7 +7,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use serde::{Deserialize, Serialize};
 
-use crate::body;
+use crate::{body, json};
 
 /// Why a request was turned down.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -164,7 +164,7 @@
     }
 
     pub(crate) fn json(&self) -> Bytes {
-        serde_json::to_vec(&self.body()).unwrap_or_default().into()
+        json::encode(&self.body()).into()
     }
 
     pub(crate) fn response<S>(&self) -> Response<body::Body<S>> {
