Let an older report of an instance that is not listed take nothing back

Now a report counts only if the instance had taken as many orders as in the one before, or more, or has started again.

Test: an_older_report_of_an_instance_that_is_not_listed_takes_nothing_back; it needs the new field and can't run on the code before.

--- a/decision/src/gateway/fleet.rs
+++ b/decision/src/gateway/fleet.rs
@@ -135,8 +135,8 @@
     /// Entries that were gone while they were held.
     missing: HashSet<Arc<str>>,
     evacuated: HashSet<Arc<str>>,
-    /// Instances whose entries are gone, and since when.
-    departed: BTreeMap<Arc<str>, (Time, Arc<Instance>)>,
+    /// Instances whose entries are gone.
+    departed: BTreeMap<Arc<str>, Departed>,
     changes: u64,
 }
 
@@ -152,6 +152,14 @@
     seen: Time,
 }
 
+#[derive(Clone, Debug)]
+struct Departed {
+    since: Time,
+    instance: Arc<Instance>,
+    /// Orders that it had taken when it last said what it is.
+    orders: Option<u64>,
+}
+
 /// Whether an instance's entry is in the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Presence {
@@ -194,17 +202,24 @@
     }
 
     fn depart(&mut self, now: Time, id: &Arc<str>) {
-        self.departed.retain(|_, (since, _)| now.since(*since) < DEPARTED);
+        self.departed.retain(|_, it| now.since(it.since) < DEPARTED);
         if let Some(listed) = self.instances.remove(id) {
-            self.departed.insert(id.clone(), (now, listed.instance));
+            let departed = Departed { since: now, instance: listed.instance, orders: None };
+            self.departed.insert(id.clone(), departed);
         }
     }
 
     /// Takes what an instance said of itself whose entry is gone, since the list can't say it.
     pub fn observe(&mut self, id: &str, report: Report) {
-        let Some((_, instance)) = self.departed.get_mut(id) else { return };
-        let Report { born, staged, model, member, orders: _ } = report;
-        *instance = Arc::new(Instance { born, staged, model, member, ..(**instance).clone() });
+        let Some(departed) = self.departed.get_mut(id) else { return };
+        let Report { born, staged, model, member, orders } = report;
+        // Answers to two questions may come in any order.
+        if born == departed.instance.born && orders < departed.orders {
+            return;
+        }
+        let instance = Instance { born, staged, model, member, ..(*departed.instance).clone() };
+        departed.instance = Arc::new(instance);
+        departed.orders = orders;
         self.changes += 1;
     }
 
@@ -253,14 +268,14 @@
 
     /// The instance called `id`, also if its entry is gone since a moment ago.
     pub fn recall(&self, id: &str) -> Option<&Arc<Instance>> {
-        self.get(id).or_else(|| self.departed.get(id).map(|(_, it)| it))
+        self.get(id).or_else(|| self.departed.get(id).map(|it| &it.instance))
     }
 
     /// All instances, and those whose entries are gone since a moment ago.
     pub fn survey(&self, now: Time) -> impl Iterator<Item = (Arc<Instance>, Presence)> {
         let departed = self.departed.values();
-        let departed = departed.filter(move |(since, _)| now.since(*since) < DEPARTED);
-        let departed = departed.map(|(_, it)| (it.clone(), Presence::Departed));
+        let departed = departed.filter(move |it| now.since(it.since) < DEPARTED);
+        let departed = departed.map(|it| (it.instance.clone(), Presence::Departed));
         self.iter().cloned().map(|it| (it, Presence::Listed)).chain(departed)
     }
 
@@ -286,7 +301,7 @@
         let Some(engine) = &service.engine else { return Vec::new() };
         let mut members: HashMap<(&str, u64), Ranked> = HashMap::new();
         let all = self.instances.values().map(|it| &it.instance);
-        for instance in all.chain(self.departed.values().map(|(_, it)| it)) {
+        for instance in all.chain(self.departed.values().map(|it| &it.instance)) {
             let Some(member) = &instance.member else { continue };
             let key = (&*member.group, member.epoch);
             members.entry(key).or_default().push((member.rank, instance.id.clone()));
--- a/decision/tests/gateway/fleet.rs
+++ b/decision/tests/gateway/fleet.rs
@@ -1,5 +1,5 @@
 use decision::gateway::config::Service;
-use decision::gateway::fleet::{Change, Fleet, Instance, Member, Phase, Presence, State};
+use decision::gateway::fleet::{Change, Fleet, Instance, Member, Phase, Presence, Report, State};
 use decision::prelude::*;
 
 use crate::support::{at, engine, instance, ms};
@@ -108,3 +108,21 @@
     assert_eq!(fleet.warmup_left(at(2_000), "cold"), ms(2_000));
     assert_eq!(fleet.warmup_left(at(9_000), "cold"), Duration::ZERO);
 }
+
+#[test]
+fn an_older_report_of_an_instance_that_is_not_listed_takes_nothing_back() {
+    let mut fleet = replica();
+    fleet.change(at(1), Change::Gone("head".into()));
+    let report = |state, orders| {
+        let Instance { born, staged, model, member, .. } = member("head", 0, state);
+        Report { born, staged, model, member, orders: Some(orders) }
+    };
+    fleet.observe("head", report(State::Closing, 3));
+    fleet.observe("head", report(State::Open, 2));
+    let state = || fleet.recall("head").and_then(|it| it.member.clone()).map(|it| it.state);
+    assert_eq!(state(), Some(State::Closing));
+    let again = Report { born: 2, ..report(State::Ready, 0) };
+    fleet.observe("head", again);
+    let state = fleet.recall("head").and_then(|it| it.member.clone()).map(|it| it.state);
+    assert_eq!(state, Some(State::Ready), "another start counts anew");
+}
