Let an owner stop when the list shows a replica of a later one; never open a spare

An owner that was paused and wakes hears of a later one by datagrams, up to 0.1 s after it has read the list; what the later one formed looks to it like remains of replicas that nobody knows, and it orders their members to leave. Where instances don't check fencing tokens they do. The epochs in the list tell of the later owner at once: now it yields.

A spare is the only member of a replica that never serves. For a model of one instance it looked whole, and the next owner would open it. It is told by its name now.

Tests: an_owner_stops_when_the_list_shows_a_replica (three cases), a_spare_of_an_earlier_owner_is_not_opened; decisions of the gateway 101 passed.

--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -280,6 +280,11 @@
         }
     }
 
+    /// Whether an instance is a member of a replica that a later owner formed.
+    pub fn is_superseded(&self, instance: &Instance) -> bool {
+        instance.member.as_ref().is_some_and(|it| it.epoch >= self.own() + EPOCHS)
+    }
+
     /// The orders to give now, given all instances of the service.
     pub fn plan<'a>(
         &mut self,
--- a/decision/src/gateway/formation/adopt.rs
+++ b/decision/src/gateway/formation/adopt.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::change::Step;
+use super::order;
 use super::view::Instances;
 use super::{Formation, Group, Key, Stage};
 use crate::gateway::engine::Engine;
@@ -18,6 +19,9 @@
         for (instance, _) in all.known.values() {
             let Some(member) = &instance.member else { continue };
             let key = member.key();
+            if order::is_spare(&key.0) {
+                continue;
+            }
             if self.left.contains_key(&(instance.id.clone(), key.clone())) {
                 continue;
             }
--- a/decision/src/gateway/formation/order.rs
+++ b/decision/src/gateway/formation/order.rs
@@ -165,6 +165,7 @@
     format!("{SPARE}{epoch}").into()
 }
 
-fn is_spare(group: &str) -> bool {
+/// Whether a replica is that of a spare, by its name.
+pub(super) fn is_spare(group: &str) -> bool {
     group.starts_with(SPARE)
 }
--- a/decision/tests/gateway/main.rs
+++ b/decision/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod ending;
 mod fleet;
 mod formation;
+mod owner;
 mod owners;
 mod premise;
 mod route;
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -235,6 +235,9 @@
             let instances: Vec<(Arc<Instance>, Presence)> = knowledge.fleet.survey(now).collect();
             (knowledge.table.clone(), instances)
         };
+        if self.is_superseded(&instances) {
+            return self.give_up("a later owner has formed replicas");
+        }
         let seen = self.shared.seen.load(std::sync::atomic::Ordering::Relaxed);
         let mut doubtful = Vec::new();
         for service in table.services() {
@@ -266,6 +269,13 @@
         }
     }
 
+    /// Whether the list shows that there is a later owner. One that was paused may read that before
+    /// it hears it.
+    fn is_superseded(&self, instances: &[(Arc<Instance>, Presence)]) -> bool {
+        let formations = || self.formations.values();
+        instances.iter().any(|(it, _)| formations().any(|formation| formation.is_superseded(it)))
+    }
+
     /// Asks an instance whether it lives, unless it was asked a moment ago.
     fn ask(&mut self, now: Time, id: Arc<str>, pause: Duration) {
         let probe = self.probes.entry(id.clone()).or_default();
