Show that a member is taken by an owner that slept while its head was opened

An order to join is repeated every 700 ms, and each time the premise is made anew of what the list shows then. An owner formed a replica of instances that were free; the list shows them as joining the one that the owner before it formed; it sleeps, that replica is opened by the next owner, it wakes and repeats its joins: the member is still where the premise says. What happens to the head of a member shows neither in the member's replica nor in its count of orders.

The world follows the shell: questions are repeated after 80, 130 and 190 ms, a refusal after the last is a contradiction, an owner whose term has ended sends nothing more. In the tests of an overtaken owner, the first owner's joins are on their way when the second begins, since it would withhold them else.

--- a/decision/tests/gateway/owners.rs
+++ b/decision/tests/gateway/owners.rs
@@ -139,7 +139,8 @@
     start_anew(&mut world);
     world.run(150);
     world.manner = Manner { travel: 100..=100, refusal, ..Manner::default() };
-    world.run(50);
+    // The owner asks for 100 ms before it orders.
+    world.run(200);
     world.lost_share = lost_share;
     world.manner.travel = first..=first;
     world.elect(0);
@@ -170,6 +171,22 @@
     assert_eq!(world.torn, []);
 }
 
+/// Its list shows the member as one that still joins the replica that the owner before it formed.
+#[test]
+fn a_member_whose_head_was_opened_is_not_taken_by_an_owner_that_slept() {
+    let mut world = formed(1);
+    start_anew(&mut world);
+    world.run(150);
+    world.manner.travel = 100..=100;
+    world.run(200);
+    world.manner.travel = 310..=310;
+    world.elect(0);
+    world.run(450);
+    world.manner.travel = 20..=20;
+    world.freeze_owner(5_000);
+    world.run(10_000);
+}
+
 /// The news of its join came before the list that the owner read, and was taken after it.
 #[test]
 fn a_head_that_older_news_show_as_free_is_not_taken() {
--- a/decision/tests/gateway/world.rs
+++ b/decision/tests/gateway/world.rs
@@ -297,6 +297,7 @@
             if let Some(key) = host.settle(self.now, still.contains(id)) {
                 self.judge.ready(key, id);
             }
+            host.record(self.now);
         }
     }
 
--- a/decision/tests/gateway/world/host.rs
+++ b/decision/tests/gateway/world/host.rs
@@ -29,8 +29,10 @@
     broken_at: Option<u64>,
     /// Orders that it has taken.
     pub(super) orders: u64,
-    /// When it took them.
-    counted: Vec<u64>,
+    /// What it said of itself, and since when.
+    told: Vec<(u64, Report)>,
+    /// What has changed when it says something else.
+    mark: Option<(u64, Option<State>)>,
     fence: u64,
     /// The last replica that it was ordered to join.
     last: Option<(Key, Vec<Arc<str>>)>,
@@ -75,7 +77,8 @@
             hidden: false,
             broken_at: None,
             orders: 0,
-            counted: Vec::new(),
+            told: Vec::new(),
+            mark: None,
             fence: 0,
             last: None,
         }
@@ -98,12 +101,24 @@
         !self.dead && self.is_head() && matches!(self.state(), Some(State::Open | State::Closing))
     }
 
-    /// What it says of itself. It shows its replica at once, and what it counts as it was at `seen`.
+    /// What it says of itself: what it was at `seen`.
     pub(super) fn report(&self, seen: u64) -> Report {
+        let told = self.told.iter().rev().find(|(since, _)| *since <= seen);
+        told.or(self.told.first()).map_or_else(|| self.current(), |(_, it)| it.clone())
+    }
+
+    fn current(&self) -> Report {
         let Instance { born, staged, model, member, .. } = self.instance.clone();
-        let later = self.counted.iter().filter(|it| **it > seen).count();
-        let orders = Some(self.orders - u64::try_from(later).unwrap_or_default());
-        Report { born, staged, model, member, orders }
+        Report { born, staged, model, member, orders: Some(self.orders) }
+    }
+
+    /// Keeps what it says of itself from now on.
+    pub(super) fn record(&mut self, now: u64) {
+        let mark = (self.orders, self.state());
+        if self.mark != Some(mark) {
+            self.mark = Some(mark);
+            self.told.push((now, self.current()));
+        }
     }
 
     /// Lets time pass. `still` says whether it is a head that lost a member. Returns the replica
@@ -137,11 +152,8 @@
 
     /// Takes an order or refuses it.
     pub(super) fn take(&mut self, now: u64, message: &Message<'_>, terms: &Terms<'_>) -> Taken {
-        let before = self.orders;
         let taken = self.obey(now, message, terms);
-        if self.orders > before {
-            self.counted.push(now);
-        }
+        self.record(now);
         taken
     }
 
--- a/decision/tests/gateway/world/manner.rs
+++ b/decision/tests/gateway/world/manner.rs
@@ -14,7 +14,7 @@
     pub(crate) travel: RangeInclusive<u64>,
     /// Time until an order arrives whose answer is lost.
     pub(crate) late: RangeInclusive<u64>,
-    /// How old the count of orders is that an instance tells.
+    /// How old a report is when it is made.
     pub(crate) report_lag: RangeInclusive<u64>,
     /// Time for the requests of a head that stops.
     pub(crate) closing: RangeInclusive<u64>,
--- a/decision/tests/gateway/world/owner.rs
+++ b/decision/tests/gateway/world/owner.rs
@@ -1,7 +1,7 @@
 //! An owner of the replicas: its view of the list, its plan, and what it makes of results, as the
 //! shell does.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use decision::gateway::engine::Engine;
@@ -142,7 +142,9 @@
             (it, born)
         });
         let mut wishes = Wishes { orders: orders.collect(), questions: Vec::new() };
-        for (id, doubt) in self.formation.doubtful() {
+        // In the order of their names, so that a seed stands for one course of events.
+        let doubtful: BTreeMap<_, _> = self.formation.doubtful().into_iter().collect();
+        for (id, doubt) in doubtful {
             let pause = match doubt {
                 Doubt::Forming => FORMING_PAUSE,
                 Doubt::Member => PROBE_PAUSE,
--- a/decision/tests/gateway/world/post.rs
+++ b/decision/tests/gateway/world/post.rs
@@ -17,11 +17,8 @@
 /// Milliseconds for which it waits for the report that comes before an order.
 const QUESTION: u64 = 300;
 
-/// How often it asks for that report.
-const TRIES: u32 = 4;
-
-/// Milliseconds between two of these questions.
-const PAUSE: u64 = 80;
+/// Milliseconds after which it asks again for that report.
+const PAUSES: [u64; 3] = [80, 130, 190];
 
 /// Milliseconds for which an owner waits to hear whether an instance lives.
 const PROBE: u64 = 180;
@@ -34,8 +31,8 @@
     born: u64,
     /// The orders that the instance must have taken.
     expect: Option<u64>,
-    /// How often the instance was asked for its report.
-    tries: u32,
+    /// How often the instance was asked for its report, if it is.
+    tries: usize,
     /// Whether the owner learns the answer.
     answered: bool,
 }
@@ -88,7 +85,8 @@
     fn question(&mut self, parcel: Parcel) {
         let lag = self.manner.report_lag.clone();
         let seen = self.now.saturating_sub(delay(&mut self.random, &lag));
-        match self.reachable(&parcel.action.id).map(|it| it.report(seen)) {
+        let report = self.reachable(&parcel.action.id).map(|it| it.report(seen));
+        match report {
             Some(report) => self.push(1, Event::Report(parcel, report)),
             None => self.conclude(1, parcel, Outcome::Unreachable),
         }
@@ -100,17 +98,33 @@
         if let Some(wakes) = owner.and_then(|it| it.asleep) {
             return self.push(wakes - self.now + 1, Event::Report(parcel, report.clone()));
         }
-        if parcel.action.premise.as_ref().is_some_and(|it| !it.holds(report)) {
+        let owns = owner.is_some();
+        parcel.tries += 1;
+        let premise = parcel.action.premise.as_ref();
+        if premise.is_some_and(|it| !it.holds(report)) {
             let (id, fence) = (&parcel.action.id, parcel.fence);
             let line = format!("{:>6} owner {fence} withholds it: {id} is {report:?}", self.now);
             self.judge.note(&parcel.action.id, line);
-            return self.conclude(0, parcel, Outcome::Contested);
+            return match premise.is_some_and(|it| it.born == report.born) {
+                true => self.again(parcel),
+                false => self.conclude(0, parcel, Outcome::Contested),
+            };
+        }
+        if !owns {
+            return;
         }
         parcel.expect = report.orders;
-        parcel.tries += 1;
         self.send(parcel);
     }
 
+    /// Asks once more, unless that was done often enough.
+    fn again(&mut self, parcel: Parcel) {
+        match PAUSES.get(parcel.tries - 1) {
+            Some(pause) => self.inquire(*pause, parcel),
+            None => self.conclude(0, parcel, Outcome::Contested),
+        }
+    }
+
     fn send(&mut self, mut parcel: Parcel) {
         let lost = self.random.random_bool(self.lost_share);
         let range = if lost { self.manner.late.clone() } else { self.manner.travel.clone() };
@@ -128,9 +142,8 @@
         if !parcel.answered {
             return;
         }
-        let again = taken == Some(Taken::Conflict) && (1..TRIES).contains(&parcel.tries);
         match taken {
-            Some(_) if again => self.inquire(PAUSE, parcel),
+            Some(Taken::Conflict) if parcel.tries > 0 => self.again(parcel),
             Some(taken) => self.conclude(1, parcel, Outcome::Answered(taken)),
             None => self.conclude(1, parcel, Outcome::Unreachable),
         }
@@ -172,7 +185,9 @@
     }
 
     fn probe(&mut self, fence: u64, id: Arc<str>, born: u64) {
-        let report = self.reachable(&id).map(|it| it.report(self.now));
+        let lag = self.manner.report_lag.clone();
+        let seen = self.now.saturating_sub(delay(&mut self.random, &lag));
+        let report = self.reachable(&id).map(|it| it.report(seen));
         let after = if report.is_some() { 1 } else { PROBE };
         let report = report.filter(|it| it.born == born);
         self.push(after, Event::Result { fence, result: Result::Probe { id, born, report } });
