Show that ten of 22 instances can stay spare while a model is missed

Reduced, with one owner and no trouble: one fabric domain has the weights of one large replica, the other one of two small ones, and each has five instances left. Large ones don't fit, small ones are ahead by cost (27.3 against 17.9, `is_due` allows 1.15 times as much), and no replica gives way, since the small ones are ahead by 1.02 and not by 1.4 times. Nothing is loaded, and ten instances stay spare. It fails on the code before the premise as well.

--- a/decision/tests/gateway/formation.rs
+++ b/decision/tests/gateway/formation.rs
@@ -176,6 +176,22 @@
     assert_eq!((world.serving("large"), world.serving("small")), (2, 2));
 }
 
+/// One fabric domain has weights for a large replica and too few for another, the other one for
+/// two small ones. Each has five instances left.
+#[test]
+fn instances_do_not_stay_spare_while_a_model_is_missed() {
+    let mut world = World::new(1, 2, 11);
+    world.end_of_free_loads();
+    for (place, host) in world.hosts.values_mut().enumerate() {
+        let large = [0..9, 11..14].iter().any(|it| it.contains(&place));
+        host.instance.staged = vec![if large { "large" } else { "small" }.into()];
+    }
+    world.run(10_000);
+    assert_eq!((world.serving("large"), world.serving("small")), (1, 2));
+    world.run(100_000);
+    assert_eq!((world.serving("large"), world.serving("small")), (2, 2));
+}
+
 /// Also across owners, of whom each knows only its own loads.
 #[rstest]
 #[case::of_one_owner(0)]
