--- a/decision/src/gateway/formation/supply.rs
+++ b/decision/src/gateway/formation/supply.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 
 use super::change::{Reason, Step};
-use super::order::{Action, Order};
+use super::order::{Action, Order, may_serve, replica, serves};
 use super::view::{Instances, has, staged};
 use super::weight::{FAR_AHEAD, cost, is_in_the_way, last_cost};
-use super::{Formation, Group, Stage};
+use super::{Formation, Group, Key, Stage};
 use crate::gateway::engine::{Engine, Model};
-use crate::gateway::fleet::{Instance, Member, Phase, Presence, State};
+use crate::gateway::fleet::{Instance, Member, Phase, Presence};
 use crate::prelude::*;
 
 impl Formation {
@@ -34,17 +34,15 @@
             if !usable || taken.contains(&*instance.id) {
                 continue;
             }
-            // What is left of a replica that isn't known leaves it before it is used again.
-            let left = |it: &Member| {
-                let key = (it.group.clone(), it.epoch);
-                self.left.contains_key(&(instance.id.clone(), key))
-            };
+            // What is left of a replica that isn't known leaves it before it is used again. One of
+            // this owner's own is left as soon as another one is joined.
+            let left = |it: &Member| self.left.contains_key(&(instance.id.clone(), it.key()));
             if let Some(member) = &instance.member
                 && !left(member)
-                && (member.rank > 0 || matches!(member.state, State::Open | State::Closing))
+                && may_serve(member)
+                && (member.epoch < self.own() || serves(member))
             {
-                let key = (member.group.clone(), member.epoch);
-                strays.push((instance.id.clone(), Order::leave(&key)));
+                strays.push((instance.id.clone(), Order::leave(&member.key())));
                 continue;
             }
             free.entry(fabric.clone()).or_default().push(instance);
@@ -140,26 +138,15 @@
         // Requests go to the head, which therefore has to be listed.
         chosen.sort_by_key(|it| all.get(&it.id).is_none());
         let epoch = self.next_epoch();
-        let group: Arc<str> = format!("r{epoch}").into();
+        let group = replica(epoch);
         for instance in chosen.iter().filter(|it| !has(it, &model.name)) {
             self.loads.push_back(now);
             self.loading.insert(instance.id.clone(), (now + model.load, model.name.clone()));
         }
-        let members: Vec<Arc<str>> = chosen.iter().map(|it| it.id.clone()).collect();
-        for id in &members {
-            let order = Order::Join {
-                group: group.clone(),
-                epoch,
-                model: model.name.clone(),
-                members: members.clone(),
-            };
-            self.sent.remove(id);
-            self.send(now, all, id, order, actions);
-        }
         let formed = Group {
             model: model.name.clone(),
+            members: chosen.iter().map(|it| it.id.clone()).collect(),
             born: chosen.iter().map(|it| it.born).collect(),
-            members,
             since: now,
             ended: now,
             unwanted: false,
@@ -167,11 +154,15 @@
             stage: Stage::Forming,
         };
         let key = (group, epoch);
+        for id in &formed.members {
+            self.sent.remove(id);
+            self.join(now, all, id, (&key, &formed), actions);
+        }
         self.note(&key, &model.name, Step::Formed);
         self.groups.insert(key, formed);
     }
 
-    /// Ends a replica of a model that is far ahead, where its instances would complete one of the
+    /// Ends replicas of models that are far ahead, where their instances would complete one of the
     /// model that is missed most.
     pub(super) fn rebalance(
         &mut self,
@@ -185,30 +176,56 @@
         let missed =
             engine.models.iter().min_by(|a, b| cost(a, &counts).total_cmp(&cost(b, &counts)));
         let Some(missed) = missed.filter(|_| settled && !self.loads_free) else { return };
-        let ahead = |it: &Group| {
-            let model = engine.model(&it.model).filter(|it| it.name != missed.name)?;
-            let ratio = last_cost(model, &counts) / cost(missed, &counts);
-            (ratio >= FAR_AHEAD).then_some(model.size)
-        };
         for (fabric, instances) in free {
-            let long = self
-                .calm
-                .get(fabric)
-                .is_some_and(|(_, since)| now.since(*since) >= self.settings.rebalance);
-            if !long || self.is_hasty(all, fabric) || self.is_served(all, fabric, missed) {
+            let calm = self.calm.get(fabric);
+            let long = calm.is_some_and(|(_, it)| now.since(*it) >= self.settings.rebalance);
+            let wanted = !self.is_served(all, fabric, missed) && instances.len() < missed.size;
+            if !long || !wanted || self.is_hasty(all, fabric) {
                 continue;
             }
-            let group = self.groups.iter_mut().find(|(_, it)| {
-                let size = ahead(it).filter(|_| it.is_in(all, fabric));
-                size.is_some_and(|size| {
-                    instances.len() < missed.size && instances.len() + size >= missed.size
-                })
-            });
-            if let Some((key, group)) = group {
+            let keys = self.in_the_way(engine, all, fabric, missed, free);
+            for key in &keys {
+                let Some(group) = self.groups.get_mut(key) else { continue };
                 group.give_way(now);
-                let (key, model) = (key.clone(), group.model.clone());
-                return self.note(&key, &model, Step::Ending(Reason::GivesWay.into()));
+                let model = group.model.clone();
+                self.note(key, &model, Step::Ending(Reason::GivesWay.into()));
+            }
+            if !keys.is_empty() {
+                return;
+            }
+        }
+    }
+
+    /// The fewest replicas in `fabric` whose instances, beside those that are free, make one of
+    /// `missed`: of models that stay ahead of it, or that have room in another fabric domain.
+    fn in_the_way(
+        &self,
+        engine: &Engine,
+        all: &Instances<'_>,
+        fabric: &Arc<str>,
+        missed: &Model,
+        free: &BTreeMap<Arc<str>, Vec<&Instance>>,
+    ) -> Vec<Key> {
+        let mut counts = self.counts();
+        let least = cost(missed, &counts);
+        let mut room = free.get(fabric).map_or(0, Vec::len);
+        let mut keys = Vec::new();
+        for (key, group) in self.groups.iter().filter(|(_, it)| it.is_in(all, fabric)) {
+            if room >= missed.size {
+                break;
+            }
+            let Some(model) = engine.model(&group.model) else { continue };
+            let ahead = last_cost(model, &counts) >= FAR_AHEAD * least;
+            let elsewhere = |(it, free): (&Arc<str>, &Vec<&Instance>)| {
+                it != fabric && free.len() >= model.size && !self.is_served(all, it, model)
+            };
+            if model.name == missed.name || !(ahead || free.iter().any(elsewhere)) {
+                continue;
             }
+            counts.entry(model.name.clone()).and_modify(|it| *it -= 1);
+            room += model.size;
+            keys.push(key.clone());
         }
+        if room >= missed.size { keys } else { Vec::new() }
     }
 }
