--- a/decision/tests/gateway/owners.rs
+++ b/decision/tests/gateway/owners.rs
@@ -62,7 +62,7 @@
 
 fn trouble(world: &mut World, random: &mut Pcg64Mcg, ids: &[Arc<str>]) {
     let id = &ids[random.random_range(0..ids.len())];
-    match random.random_range(0..10) {
+    match random.random_range(0..11) {
         0 => world.kill(id),
         1 => world.restart(id),
         2 => world.cut(id, true),
@@ -70,7 +70,8 @@
         4 => world.drain(id),
         5 | 6 => world.elect(random.random_range(0..2_000)),
         7 => world.freeze_owner(5_000),
-        8 => ids.iter().for_each(|it| world.restart(it)),
+        8 => world.mislead(id),
+        9 => ids.iter().for_each(|it| world.restart(it)),
         _ => ids.iter().for_each(|it| world.hide(it, false)),
     }
 }
@@ -201,11 +202,15 @@
 }
 
 /// The news of its join came before the list that the owner read, and was taken after it.
-#[test]
-fn a_head_that_older_news_show_as_free_is_not_taken() {
+#[rstest]
+#[case::by_a_new_owner(true)]
+#[case::by_the_owner_that_formed_its_replica(false)]
+fn a_head_that_older_news_show_as_free_is_not_taken(#[case] new: bool) {
     let mut world = formed(1);
     let (head, member) = (head(&world), last(&world));
-    world.elect(0);
+    if new {
+        world.elect(0);
+    }
     world.mislead(&head);
     world.restart(&member);
     world.run(10_000);
