--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -167,13 +167,13 @@
                     wait = self.wait();
                     // Without changes, the store answers once its wait is over, and not before.
                     let known = if some || self.shared.now() < held { asked } else { held };
-                    apply::changes(&self.shared, self.kind, known, changes);
+                    apply::changes(&self.shared, self.kind, known, &changes);
                     if some {
                         sleep(self.pace()).await;
                     }
                 }
                 Err(Error::Status(StatusCode::GONE)) => {
-                    return self.shared.mirror().forget(self.kind);
+                    return self.shared.mirror().cut(self.kind);
                 }
                 Err(error) => {
                     wait = SHORT_WAIT;
@@ -248,12 +248,20 @@
         let after_ms = u64::try_from(away.as_millis()).unwrap_or(u64::MAX);
         let event = Event::Regained { dependency: "store", kind: self.kind, after_ms };
         self.shared.journal.note(&event);
-        if self.kind == Kind::Instances && away > LAPSE_AFTER {
-            self.shared.knowledge().fleet.regain(now, LAPSE_GRACE);
+        if self.kind == Kind::Instances {
+            regain(&self.shared, away);
         }
     }
 }
 
+/// Notes that the instances can be read again, after the time `away`.
+pub(crate) fn regain<P>(shared: &Shared<P>, away: Duration) {
+    if away > LAPSE_AFTER {
+        let now = shared.now();
+        shared.knowledge().fleet.regain(now, LAPSE_GRACE);
+    }
+}
+
 /// Waits until the store does not answer.
 async fn down(reachable: &mut watch::Receiver<bool>) -> Error {
     // The scout lives as long as the follower that waits.
@@ -280,7 +288,7 @@
         }
     }
     let revision = first.unwrap_or_default();
-    apply::list(shared, kind, revision, asked, items);
+    apply::list(shared, kind, revision, asked, &items);
     Ok(revision)
 }
 
