Show that a late order to an earlier start can take a head

A restart keeps the identifier of an instance and clears its count of orders, the epochs that it has seen and the fencing tokens. An order to join that comes 12 s late, to a start that had taken two orders, fits the next start once that has joined another replica and opened it. Where tokens are checked, the newer owner's order to open refuses it (412); where they aren't, the epoch does only if the open replica is the later one. Here an older owner formed it, and the next owner adopted and opened it.

Ruled out as a guard: the count and the identifier that an order expects; both are the same. It would be refused by its epoch if replicas that aren't open yet were joined anew by each owner.

--- a/decision/tests/gateway/owners.rs
+++ b/decision/tests/gateway/owners.rs
@@ -215,3 +215,22 @@
     world.restart(&member);
     world.run(10_000);
 }
+
+/// It has taken as many orders since as the earlier start had.
+#[test]
+fn a_head_is_not_taken_by_an_order_to_its_earlier_start() {
+    let mut world = formed(1);
+    world.manner = Manner { fencing: false, late: 12_000..=12_000, ..Manner::default() };
+    let head = ready_again(&mut world);
+    let member = world.hosts[&head].members[1].clone();
+    world.restart(&member);
+    world.run(50);
+    world.elect(2_000);
+    world.run(100);
+    world.lost_share = 1.0;
+    world.run(50);
+    world.lost_share = 0.0;
+    start_anew(&mut world);
+    world.freeze_owner(60_000);
+    world.run(20_000);
+}
