Leave an instance in the replica that it joined after the one an order is for

What callers would see: a replica that serves loses a member and stands still, and its owner gives up the ownership.

Cause: a premise took every epoch from this owner's first one on for this owner's own past. That includes replicas that it formed after the order was decided, and those of later owners. An order to join waits up to some seconds for a report that fits (four questions, and the report is 0.2 s old); meanwhile its replica can be given up, and its members joined in the next one. The order that is left over then made a member leave that one, and joined the older one, which the instance refuses by its epoch (412); the refusal was taken for a later owner. An owner that wakes did the same to members of its follower's replicas.

Now whatever was joined later than the replica that an order is for contradicts the order. No rule was broken before: the older epoch is refused.

Five cases of the premise's table failed before and pass. decision's gateway tests: 101 of 101 pass.

Ruled out: relying on the refusal by the epoch alone, since the order to leave before it has no epoch to compare.

--- a/decision/src/gateway/formation/order.rs
+++ b/decision/src/gateway/formation/order.rs
@@ -131,9 +131,13 @@
         }
     }
 
-    /// Whether an instance in this place may be used, perhaps after it has left.
+    /// Whether an instance in this place may be used, perhaps after it has left. What it joined
+    /// after the replica that it is to join, it stays in.
     pub(super) fn allows(&self, member: Option<&Member>) -> bool {
         let Some(member) = member else { return true };
+        if member.epoch > self.joins.1 {
+            return false;
+        }
         let own = member.epoch >= self.own && !serves(member);
         own || member.is_of(&self.joins) || !may_serve(member)
     }
--- a/decision/tests/gateway/premise.rs
+++ b/decision/tests/gateway/premise.rs
@@ -39,6 +39,11 @@
 #[case::whose_head_may_serve(place("r5", 5, 1, State::Ready), 1)]
 #[case::whose_head_may_have_been_opened(place("r5", 5, 1, State::Joining), 1)]
 #[case::that_started_again(None, 2)]
+#[case::that_is_a_member_of_what_this_owner_formed_later(place("r8", 8, 1, State::Ready), 1)]
+#[case::that_leads_what_this_owner_formed_later(place("r8", 8, 0, State::Ready), 1)]
+#[case::that_joins_what_this_owner_formed_later(place("r8", 8, 0, State::Joining), 1)]
+#[case::that_joined_the_replica_of_a_later_owner(place("r9", 9_000_001, 0, State::Joining), 1)]
+#[case::that_is_a_spare_of_later(place("s8", 8, 0, State::Ready), 1)]
 fn no_order_to_join_is_given_to_an_instance(#[case] member: Option<Member>, #[case] born: u64) {
     assert_eq!(verdict(member, born), Verdict::Contested);
 }
