--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -7,6 +7,7 @@
 mod adopt;
 mod change;
 mod ending;
+mod group;
 mod life;
 mod order;
 mod staging;
@@ -23,6 +24,7 @@
 use crate::gateway::engine::Engine;
 use crate::gateway::fleet::{Instance, Phase, Presence, State};
 use crate::prelude::*;
+use group::{Group, Stage};
 use view::{Instances, has};
 
 /// Epochs of one owner. The owner's fencing token is the part above.
@@ -104,31 +106,6 @@
 
 type Key = (Arc<str>, u64);
 
-#[derive(Clone, Debug)]
-struct Group {
-    model: Arc<str>,
-    members: Vec<Arc<str>>,
-    born: Vec<u64>,
-    since: Time,
-    /// When its end began.
-    ended: Time,
-    /// Whether its instances are wanted for another model, so that it ends although it is whole.
-    unwanted: bool,
-    /// Members that have left it at its end.
-    gone: HashSet<Arc<str>>,
-    stage: Stage,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    /// Members are joining.
-    Forming,
-    /// All members were ready once.
-    Whole,
-    /// The head is told to stop, so that the members can be used elsewhere.
-    Ending,
-}
-
 #[derive(Clone, Debug)]
 struct Sent {
     at: Time,
@@ -464,38 +441,3 @@
         (here && !left).then_some(member.state)
     }
 }
-
-impl Group {
-    /// Adds a member that was not seen yet when the replica was taken over.
-    fn complete(&mut self, member: &Instance) {
-        if !self.members.contains(&member.id) {
-            self.members.push(member.id.clone());
-            self.born.push(member.born);
-        }
-    }
-
-    /// What is taken for granted of a member that is to join.
-    fn premise(&self, key: &Key, id: &str, own: u64) -> Option<Premise> {
-        let (_, born) = self.places().find(|(it, _)| ***it == *id)?;
-        Some(Premise { born, joins: key.clone(), own })
-    }
-
-    fn end(&mut self, now: Time) {
-        self.stage = Stage::Ending;
-        self.ended = now;
-    }
-
-    fn give_way(&mut self, now: Time) {
-        self.unwanted = true;
-        self.end(now);
-    }
-
-    fn is_in(&self, all: &Instances<'_>, fabric: &Arc<str>) -> bool {
-        let mut members = self.members.iter().filter_map(|it| all.recall(it));
-        members.any(|it| it.fabric.as_ref() == Some(fabric))
-    }
-
-    fn places(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
-        self.members.iter().zip(self.born.iter().copied())
-    }
-}
