Share the settings of an entry between three tests

The tests of the cache, of the lock and of the dispatcher each wrote the same settings. They now take them from one place in the tests' support.

--- a/rhubarblatchd/tests/cache.rs
+++ b/rhubarblatchd/tests/cache.rs
@@ -1,5 +1,8 @@
 //! Entries that follow the cache events of stand-in engines.
 
+#[path = "support/settings.rs"]
+mod settings;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,8 +26,8 @@
 use rhubarblatchd::claims::{Alone, Claims};
 use rhubarblatchd::dispatch::Dispatcher;
 use rhubarblatchd::node::Node;
-use rhubarblatchd::settings::Settings;
 use serde_json::json;
+use settings::settings;
 use standin::engine::{self, Engine};
 use store::client::Client;
 use tokio::net::TcpListener;
@@ -78,18 +81,8 @@
 }
 
 fn entry(targets: &[&Target]) -> Result<Entry> {
-    let nowhere = "127.0.0.1:1";
-    let settings = json!({
-        "name": "entry-1",
-        "failure_domain": "riga-a",
-        "listen": {
-            "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0",
-        },
-        "platform": { "address": nowhere },
-        "tokens": { "operators": { "env": "A" }, "peers": { "env": "B" } },
-        "timing": { "freshness_ms": 3_600_000 },
-    });
-    let settings = Settings::parse("settings", &settings.to_string())?;
+    let nowhere: SocketAddr = "127.0.0.1:1".parse()?;
+    let settings = settings("entry-1", nowhere)?;
     let store = Client::new(store::client::Settings {
         address: format!("http://{nowhere}"),
         ..Default::default()
--- a/rhubarblatchd/tests/dispatch/main.rs
+++ b/rhubarblatchd/tests/dispatch/main.rs
@@ -4,6 +4,8 @@
 
 mod refusals;
 mod relay;
+#[path = "../support/settings.rs"]
+mod settings;
 mod support;
 
 use std::collections::BTreeMap;
--- a/rhubarblatchd/tests/dispatch/support.rs
+++ b/rhubarblatchd/tests/dispatch/support.rs
@@ -18,7 +18,6 @@
 use rhubarblatchd::claims::{Alone, Claims};
 use rhubarblatchd::dispatch::Dispatcher;
 use rhubarblatchd::node::Node;
-use rhubarblatchd::settings::Settings;
 use serde_json::json;
 use standin::engine::{self, Engine};
 use standin::plain::Plain;
@@ -26,6 +25,8 @@
 use store::client::Client;
 use tokio::net::TcpListener;
 
+use crate::settings::settings;
+
 /// One entry that routes to the given targets.
 pub(crate) struct Entry {
     pub(crate) node: Arc<Node>,
@@ -109,17 +110,7 @@
 }
 
 pub(crate) fn node(name: &str, store: SocketAddr) -> Result<Arc<Node>> {
-    let settings = json!({
-        "name": name,
-        "failure_domain": "riga-a",
-        "listen": {
-            "callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0",
-        },
-        "platform": { "address": store },
-        "tokens": { "operators": { "env": "A" }, "peers": { "env": "B" } },
-        "timing": { "freshness_ms": 3_600_000 },
-    });
-    let settings = Settings::parse("settings", &settings.to_string())?;
+    let settings = settings(name, store)?;
     let store = Client::new(store::client::Settings {
         address: format!("http://{store}"),
         timeout_ms: 200,
--- a/rhubarblatchd/tests/lock.rs
+++ b/rhubarblatchd/tests/lock.rs
@@ -2,6 +2,9 @@
 
 #![cfg(test)]
 
+#[path = "support/settings.rs"]
+mod settings;
+
 use std::sync::{Arc, mpsc};
 use std::time::Duration;
 
@@ -16,24 +19,15 @@
 use peer::token::Token;
 use rhubarblatchd::node::Node;
 use rhubarblatchd::routing::Route;
-use rhubarblatchd::settings::Settings;
 use serde_json::json;
+use settings::settings;
 use store::client::{self, Client};
 
 /// Time after which a step that takes microseconds counts as locked up.
 const LOCKED_UP: Duration = Duration::from_secs(30);
 
 fn node() -> Result<Arc<Node>> {
-    let any = "127.0.0.1:0";
-    let settings = json!({
-        "name": "entry-1",
-        "failure_domain": "riga-a",
-        "listen": { "callers": any, "operators": any, "peers": any },
-        "platform": { "address": any },
-        "tokens": { "operators": { "env": "A" }, "peers": { "env": "B" } },
-        "timing": { "freshness_ms": 3_600_000 },
-    });
-    let settings = Settings::parse("settings", &settings.to_string())?;
+    let settings = settings("entry-1", "127.0.0.1:0".parse()?)?;
     Ok(Node::new(settings, Client::new(client::Settings::default())?, Token::new("peers")?))
 }
 
