Share the router of two benches

The benches of the router's time and of its memory built the same router over the same targets. They now take it from one place; sizes and settings are as before.

--- a/decision/benches/router.rs
+++ b/decision/benches/router.rs
@@ -1,58 +1,19 @@
 //! Time of one decision by number of replicas and workspaces, and bytes of state.
 
+mod support;
+
 use std::hint::black_box;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use decision::declaration::{Backend, Declaration, Profile, Service, Set, Workspace};
 use decision::head::Generation;
 use decision::prelude::*;
 use decision::request::{Admission, Event, Request, Ticket};
-use decision::router::{Router, Settings};
+use decision::router::Router;
 use decision::share::{Force, Start, View};
-use decision::target::{Epoch, Phase, Process, Target, Temperature};
-
-fn name(text: String) -> Name {
-    Name::new(text).unwrap_or_default()
-}
-
-fn router(entries: usize, replicas: usize, workspaces: usize) -> Router {
-    let profile = Profile { cold_limit: 32, queue: 10_000, ..Profile::default() };
-    let service = Service {
-        name: name("s".into()),
-        profile: profile.name.clone(),
-        backend: Backend::Model { model: Name::default(), replicas: 1, instances: 1 },
-    };
-    let mut all = vec![Declaration::Profile(profile), Declaration::Service(service)];
-    let workspace = |it| Workspace { name: name(format!("w{it}")), weight: 1 };
-    all.extend((0..workspaces).map(|it| Declaration::Workspace(workspace(it))));
-    let set: Set = all.into_iter().map(|it| (it.id(), it)).collect();
-    let mut router = Router::new(Settings::default());
-    router.configure(Time::ZERO, &set);
-    let view = View {
-        own: name("e0".into()),
-        generation: Generation(1),
-        members: (0..entries).map(|it| name(format!("e{it}"))).collect(),
-        force: Force::InForce,
-        ..View::default()
-    };
-    router.roster(Time::ZERO, view);
-    router.targets(Time::ZERO, (0..replicas).map(target));
-    router.next(Time::from_millis(500));
-    router
-}
+use decision::target::Target;
+use support::{name, router, target};
 
-fn target(index: usize) -> Target {
-    Target {
-        name: name(format!("t{index}")),
-        service: name("s".into()),
-        failure_domain: name(format!("d{}", index % 8)),
-        address: ([127, 0, 0, 1], 1).into(),
-        process: Process(1),
-        epoch: Epoch(1),
-        temperature: Temperature::Warm,
-        phase: Phase::Serving,
-    }
-}
+const QUEUE: u32 = 10_000;
 
 fn request(index: u64, workspaces: usize) -> Request {
     Request {
@@ -71,7 +32,7 @@
     for (entries, replicas) in [(9, 65), (9, 600), (360, 600)] {
         let id = BenchmarkId::from_parameter(format!("{entries}_entries_{replicas}_replicas"));
         group.bench_function(id, |bench| {
-            let mut router = router(entries, replicas, 10);
+            let mut router = router(entries, replicas, 10, QUEUE);
             let requests: Vec<Request> = (0..100).map(|it| request(it, 10)).collect();
             let mut turn = 0;
             let now = Time::from_millis(600);
@@ -96,7 +57,7 @@
         let id =
             BenchmarkId::from_parameter(format!("{replicas}_replicas_{workspaces}_workspaces"));
         group.bench_function(id, |bench| {
-            let mut router = router(1, replicas, workspaces);
+            let mut router = router(1, replicas, workspaces, QUEUE);
             let now = Time::from_millis(600);
             let mut running = fill(&mut router, now, workspaces);
             let requests: Vec<Request> = (0..1_000).map(|it| request(it, workspaces)).collect();
@@ -137,7 +98,7 @@
     let mut group = bench.benchmark_group("background");
     for (entries, replicas) in [(9, 65), (360, 600)] {
         let label = format!("{entries}_entries_{replicas}_replicas");
-        let mut router = router(entries, replicas, 10);
+        let mut router = router(entries, replicas, 10, QUEUE);
         let mut now = Time::from_millis(600);
         group.bench_function(BenchmarkId::new("upkeep", &label), |bench| {
             bench.iter(|| {
--- a/decision/benches/state.rs
+++ b/decision/benches/state.rs
@@ -1,14 +1,13 @@
 //! Memory of the router's state by target, by slot's holder and by waiting request.
 
+mod support;
+
 use std::fs;
 
-use decision::declaration::{Backend, Declaration, Profile, Service, Set};
-use decision::head::Generation;
 use decision::prelude::*;
 use decision::request::Request;
-use decision::router::{Router, Settings};
-use decision::share::{Force, View};
-use decision::target::{Epoch, Phase, Process, Target, Temperature};
+use decision::router::Router;
+use support::name;
 
 /// Bytes of one page of memory.
 const PAGE: usize = 4_096;
@@ -44,40 +43,7 @@
 }
 
 fn router(entries: usize, replicas: usize) -> Router {
-    let profile = Profile { cold_limit: 32, queue: REQUESTS as u32, ..Profile::default() };
-    let service = Service {
-        name: name("s".into()),
-        profile: profile.name.clone(),
-        backend: Backend::Model { model: Name::default(), replicas: 1, instances: 1 },
-    };
-    let all = [Declaration::Profile(profile), Declaration::Service(service)];
-    let set: Set = all.into_iter().map(|it| (it.id(), it)).collect();
-    let mut router = Router::new(Settings::default());
-    router.configure(Time::ZERO, &set);
-    let view = View {
-        own: name("e0".into()),
-        generation: Generation(1),
-        members: (0..entries).map(|it| name(format!("e{it}"))).collect(),
-        force: Force::InForce,
-        ..View::default()
-    };
-    router.roster(Time::ZERO, view);
-    router.targets(Time::ZERO, (0..replicas).map(target));
-    router.next(Time::from_millis(500));
-    router
-}
-
-fn target(index: usize) -> Target {
-    Target {
-        name: name(format!("t{index}")),
-        service: name("s".into()),
-        failure_domain: name(format!("d{}", index % 8)),
-        address: ([127, 0, 0, 1], 1).into(),
-        process: Process(1),
-        epoch: Epoch(1),
-        temperature: Temperature::Warm,
-        phase: Phase::Serving,
-    }
+    support::router(entries, replicas, 0, REQUESTS as u32)
 }
 
 fn request(index: u64) -> Request {
@@ -90,7 +56,3 @@
         ..Request::default()
     }
 }
-
-fn name(text: String) -> Name {
-    Name::new(text).unwrap_or_default()
-}
