--- a/decision/tests/gateway/owners.rs
+++ b/decision/tests/gateway/owners.rs
@@ -45,15 +45,6 @@
 #[case::and_busy_instances_refuse_all(true, 1.0)]
 #[case::and_instances_refuse_and_check_nothing(false, 1.0)]
 fn no_order_breaks_a_rule_while_owners_overlap(#[case] fencing: bool, #[case] refusal: f64) {
-    (0..DAYS).for_each(|seed| {
-        day(seed, fencing, refusal);
-    });
-}
-
-#[rstest]
-#[case::and_instances_check_tokens(true, 0.0)]
-#[case::and_instances_check_nothing(false, 0.0)]
-fn all_models_serve_again_after_owners_overlapped(#[case] fencing: bool, #[case] refusal: f64) {
     for seed in 0..DAYS {
         let (large, small) = day(seed, fencing, refusal);
         assert!(large >= 2 && small >= 2, "seed {seed}: {large} large ones, {small} small ones");
