Take a join that comes after a later one of the same owner for no sign of another owner

What callers would see: the owner of the replicas gives up its ownership though nobody followed it; for the next quarter of a second to a second nobody heals, and what it was forming is begun anew.

Cause: an instance answers 412 to an owner with too low a token, and also to a join whose epoch is lower than one that it has seen. An owner gives an instance several joins in a row (a replica is given up, the next one is formed), and one of them can wait for a report or be on its way for longer than the next. Any 412 ended the ownership.

Now only a 412 to the last order that the instance was sent does. If there is another owner, that one gets it too.

--- a/decision/src/gateway/formation/order.rs
+++ b/decision/src/gateway/formation/order.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::Formation;
 use crate::gateway::fleet::{Member, Report, State};
 
 /// First letter of the names of spares' replicas.
@@ -52,6 +53,13 @@
     },
 }
 
+impl Formation {
+    /// Whether `order` is the last one that an instance was sent.
+    pub fn is_last(&self, id: &str, order: &Order) -> bool {
+        self.sent.get(id).is_some_and(|it| it.order == *order)
+    }
+}
+
 impl Order {
     pub(super) fn leave((group, epoch): &(Arc<str>, u64)) -> Order {
         Order::Leave { group: group.clone(), epoch: *epoch }
--- a/decision/tests/gateway/world.rs
+++ b/decision/tests/gateway/world.rs
@@ -357,6 +357,7 @@
             Ok(Some((id, born))) => self.ask(fence, id, born),
             Ok(None) => {}
             Err(()) => {
+                assert_ne!(fence, self.fence, "an owner gives up whom nobody followed");
                 self.owners.remove(place);
             }
         }
--- a/decision/tests/gateway/world/owner.rs
+++ b/decision/tests/gateway/world/owner.rs
@@ -163,7 +163,9 @@
         let now = at(now);
         match result {
             Result::Probe { id, born, report } => Ok(self.probed(now, &id, born, report)),
-            Result::Order { outcome: Outcome::Answered(Taken::Fenced), .. } => Err(()),
+            Result::Order { id, order, outcome: Outcome::Answered(Taken::Fenced), .. } => {
+                if self.formation.is_last(&id, &order) { Err(()) } else { Ok(None) }
+            }
             Result::Order { id, born, order, outcome } => {
                 match outcome {
                     Outcome::Answered(taken) => {
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -327,7 +327,7 @@
             Result::Probe { id, born, alive } => self.probed(now, &id, born, alive),
             Result::Order { id, born, order, outcome } => {
                 if outcome == Outcome::Answered(Taken::Fenced) {
-                    return self.give_up("an instance has seen a later owner");
+                    return self.fenced(&id, &order);
                 }
                 for formation in self.formations.values_mut() {
                     match outcome {
@@ -346,6 +346,14 @@
         }
     }
 
+    /// Gives up if an instance has seen a later owner. It refuses a join in the same way that comes
+    /// after one of this owner's next replica.
+    fn fenced(&mut self, id: &str, order: &Order) {
+        if self.formations.values().any(|it| it.is_last(id, order)) {
+            self.give_up("an instance has seen a later owner");
+        }
+    }
+
     fn probed(&mut self, now: Time, id: &Arc<str>, born: u64, alive: bool) {
         let probe = self.probes.entry(id.clone()).or_default();
         probe.misses = if alive { 0 } else { probe.misses + 1 };
