Never take a spare's replica for one that is to serve

What callers would see, where a model needs one instance (a configuration without a size means one, too): each spare that holds its weights is opened.

Cause: taking over replicas looks at ranks and the size alone, and a spare's replica of one is whole by that.

Now a replica with a spare's name is not taken over, whoever owns it.

--- a/decision/src/gateway/formation/adopt.rs
+++ b/decision/src/gateway/formation/adopt.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::change::Step;
+use super::order::is_spare;
 use super::view::Instances;
 use super::{Formation, Group, Key, Stage};
 use crate::gateway::engine::Engine;
@@ -18,7 +19,8 @@
         for (instance, _) in all.known.values() {
             let Some(member) = &instance.member else { continue };
             let key = member.key();
-            if self.left.contains_key(&(instance.id.clone(), key.clone())) {
+            let left = self.left.contains_key(&(instance.id.clone(), key.clone()));
+            if left || is_spare(&key.0) {
                 continue;
             }
             match self.groups.get_mut(&key) {
--- a/decision/src/gateway/formation/order.rs
+++ b/decision/src/gateway/formation/order.rs
@@ -177,6 +177,7 @@
     format!("{SPARE}{epoch}").into()
 }
 
-fn is_spare(group: &str) -> bool {
+/// Whether a replica of that name never serves.
+pub(super) fn is_spare(group: &str) -> bool {
     group.starts_with(SPARE)
 }
--- a/decision/tests/gateway/main.rs
+++ b/decision/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod owners;
 mod premise;
 mod route;
+mod spare;
 mod support;
 mod warmup;
 mod world;
