Give no order to join to an instance that doesn't count its orders

The condition is all that keeps a late join from a head that serves meanwhile.

Now such a report contradicts the order, which is asked for again and withheld.

--- a/decision/src/gateway/formation/order.rs
+++ b/decision/src/gateway/formation/order.rs
@@ -127,10 +127,11 @@
 }
 
 impl Premise {
-    /// Whether an instance that says this can be used.
+    /// Whether an instance that says this can be used. One that doesn't count its orders can't be
+    /// held to what it says.
     pub fn judge(&self, report: &Report) -> Verdict {
         match &report.member {
-            _ if report.born != self.born => Verdict::Contested,
+            _ if report.born != self.born || report.orders.is_none() => Verdict::Contested,
             Some(it) if !self.allows(Some(it)) => Verdict::Contested,
             Some(it) if may_serve(it) && !it.is_of(&self.joins) => {
                 Verdict::Bound(Order::leave(&it.key()))
--- a/decision/tests/gateway/premise.rs
+++ b/decision/tests/gateway/premise.rs
@@ -23,6 +23,13 @@
     assert_eq!(verdict(member, 1), Verdict::Free);
 }
 
+#[test]
+fn no_order_to_join_is_given_to_an_instance_that_does_not_count() {
+    let premise = Premise { born: 1, joins: ("r7".into(), 7), own: 6 };
+    let report = Report { born: 1, staged: Vec::new(), model: None, member: None, orders: None };
+    assert_eq!(premise.judge(&report), Verdict::Contested);
+}
+
 #[rstest]
 #[case::as_its_head(place("r6", 6, 0, State::Ready))]
 #[case::as_a_member(place("r6", 6, 1, State::Joining))]
