--- a/decision/src/gateway/formation/order.rs
+++ b/decision/src/gateway/formation/order.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::Formation;
 use crate::gateway::fleet::{Member, Report, State};
 
 /// First letter of the names of spares' replicas.
@@ -52,6 +53,13 @@
     },
 }
 
+impl Formation {
+    /// Whether `order` is the last one that an instance was sent.
+    pub fn is_last(&self, id: &str, order: &Order) -> bool {
+        self.sent.get(id).is_some_and(|it| it.order == *order)
+    }
+}
+
 impl Order {
     pub(super) fn leave((group, epoch): &(Arc<str>, u64)) -> Order {
         Order::Leave { group: group.clone(), epoch: *epoch }
@@ -119,10 +127,11 @@
 }
 
 impl Premise {
-    /// Whether an instance that says this can be used.
+    /// Whether an instance that says this can be used. One that doesn't count its orders can't be
+    /// held to what it says.
     pub fn judge(&self, report: &Report) -> Verdict {
         match &report.member {
-            _ if report.born != self.born => Verdict::Contested,
+            _ if report.born != self.born || report.orders.is_none() => Verdict::Contested,
             Some(it) if !self.allows(Some(it)) => Verdict::Contested,
             Some(it) if may_serve(it) && !it.is_of(&self.joins) => {
                 Verdict::Bound(Order::leave(&it.key()))
--- a/decision/tests/gateway/main.rs
+++ b/decision/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod owners;
 mod premise;
 mod route;
+mod spare;
 mod support;
 mod warmup;
 mod world;
