Let an entry that cannot list leave the lease to others; take a token above all that are listed

An entry that can write the lease and not list the instances within a second (a squeezed link, say) announced itself, withdrew, and tried again 0.25 s later. Since the announcement comes before the list now, each one made the others wait anew, and each token was one that they yield to: nobody would have owned the replicas as long as it lasted. It takes no lease for 4 s then, longer than the others' pauses.

An owner yields when the list shows a replica of a later one. If the lease were lost, or another writer's entry showed a high epoch, it would have yielded at once in each term. The next token is above all that are listed; tokens above 32 bits are nobody's.

Tests: an_owner_stops_when_the_list_shows_a_replica has a fourth case. The first has no test: the stand-in's store can't refuse the list to one entry alone.

--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -30,6 +30,9 @@
 /// Epochs of one owner. The owner's fencing token is the part above.
 const EPOCHS: u64 = 1_000_000;
 
+/// Highest fencing token that is taken for one. Replicas of other writers may have any epoch.
+const MAX_FENCE: u64 = u32::MAX as u64;
+
 /// Loads that may begin in a window however low the rate.
 const MIN_LOADS: usize = 6;
 
@@ -146,6 +149,12 @@
     }
 }
 
+/// The fencing token of the owner that formed the replica of an instance.
+pub fn fence_of(instance: &Instance) -> Option<u64> {
+    let fence = instance.member.as_ref()?.epoch / EPOCHS;
+    (fence <= MAX_FENCE).then_some(fence)
+}
+
 impl Formation {
     /// Nothing formed yet, for the owner whose fencing token is `fence`.
     pub fn new(fence: u64, settings: Settings) -> Formation {
@@ -259,7 +268,7 @@
 
     /// Whether an instance is a member of a replica that a later owner formed.
     pub fn is_superseded(&self, instance: &Instance) -> bool {
-        instance.member.as_ref().is_some_and(|it| it.epoch >= self.own() + EPOCHS)
+        fence_of(instance).is_some_and(|it| it > self.fence)
     }
 
     /// The orders to give now, given all instances of the service.
--- a/decision/tests/gateway/owner.rs
+++ b/decision/tests/gateway/owner.rs
@@ -13,6 +13,7 @@
 #[case::of_an_earlier_owner(1_000_005, false)]
 #[case::of_its_own(2_999_999, false)]
 #[case::of_a_later_owner(3_000_000, true)]
+#[case::of_nobody(u64::MAX, false)]
 fn an_owner_stops_when_the_list_shows_a_replica(#[case] epoch: u64, #[case] stops: bool) {
     let formation = Formation::new(2, Settings::default());
     assert_eq!(formation.is_superseded(&member(epoch)), stops);
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -31,6 +31,9 @@
 /// Time without the store after which a peer that reaches it had better own the replicas.
 const STALE: Duration = Duration::from_millis(1_200);
 
+/// Time for which an entry takes no lease that could not list the instances.
+const UNLISTED: Duration = Duration::from_secs(4);
+
 /// Longest time for a question whether an instance lives.
 const PROBE: Duration = Duration::from_millis(180);
 
@@ -176,6 +179,7 @@
             },
             None => (When::Absent, 1),
         };
+        let fence = fence.max(self.highest_fence() + 1);
         if held.as_ref().is_some_and(|it| self.leaves_to(&it.object)) {
             return;
         }
@@ -192,6 +196,13 @@
         }
     }
 
+    /// The highest fencing token whose replicas are known, or 0: the lease may have been lost.
+    fn highest_fence(&self) -> u64 {
+        let knowledge = self.shared.knowledge();
+        let instances = knowledge.fleet.survey(self.shared.now());
+        instances.filter_map(|(it, _)| formation::fence_of(&it)).max().unwrap_or_default()
+    }
+
     /// Whether the holder of a lease is given the time to be heard.
     fn leaves_to(&mut self, held: &Object) -> bool {
         let Object::Lease(Lease { holder, life, fence }) = held else { return false };
@@ -205,6 +216,8 @@
     async fn won(&mut self, fence: u64) {
         self.shared.peers.own(Some(fence));
         if !follow::renew(&self.shared).await {
+            // Others may be able to list, and win meanwhile.
+            self.vacant_since = self.shared.now() + UNLISTED;
             return self.shared.peers.own(None);
         }
         self.fence = Some(fence);
