Let the owner of a large fleet plan and order without falling silent

Cause: the owner, on 0.12 cores, was silent for longer than the 0.9 s after which peers count it as gone: a plan's cost grew with replicas times replicas (each look for the replicas of a fabric domain went through all, and through their members), and it gave all of its 875 orders at once. A second owner won while the first one's orders were on their way, and formed all anew, with loads that were planned as free and began after the first callers.

Change: replicas are indexed by fabric domain and counted once for a plan; the owner spends at most a quarter of its time on plans; 96 orders are under way at a time, one that waits isn't queued again, and one that waited for so long that its owner has changed, or that would begin an uncounted load after callers came, is dropped with a log line.

Ruled out: a longer time until an owner counts as gone (it was busy for 2.5 s, and its death would cost as much); loads that are never free (the rate allows 367 in 5 s, too few to form the fleet before traffic).

--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -8,6 +8,7 @@
 mod change;
 mod ending;
 mod group;
+mod groups;
 mod life;
 mod order;
 mod staging;
@@ -15,7 +16,7 @@
 mod view;
 mod weight;
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 pub use change::{Cause, Change, Reason, Step};
@@ -25,6 +26,7 @@
 use crate::gateway::fleet::{Instance, Phase, Presence, State};
 use crate::prelude::*;
 use group::{Group, Stage};
+use groups::Groups;
 use view::{Instances, has};
 
 /// Epochs of one owner. The owner's fencing token is the part above.
@@ -85,7 +87,7 @@
     settings: Settings,
     fence: u64,
     counter: u64,
-    groups: BTreeMap<Key, Group>,
+    groups: Groups,
     sent: HashMap<Arc<str>, Sent>,
     dead: HashMap<Arc<str>, Dead>,
     /// Instances that answered, and when.
@@ -169,7 +171,7 @@
             settings,
             fence,
             counter: 0,
-            groups: BTreeMap::new(),
+            groups: Groups::default(),
             sent: HashMap::new(),
             dead: HashMap::new(),
             vouched: HashMap::new(),
@@ -258,6 +260,9 @@
     /// Instances whose entries are gone, and who are asked whether they live: members of replicas
     /// often, the others now and then.
     pub fn doubtful(&self) -> Vec<(Arc<str>, Doubt)> {
+        if self.departed.is_empty() {
+            return Vec::new();
+        }
         let of = |stage| {
             let groups = self.groups.values().filter(move |it| it.stage == stage);
             groups.flat_map(|it| it.members.iter()).collect::<HashSet<_>>()
@@ -297,8 +302,7 @@
         engine: &Engine,
         instances: impl IntoIterator<Item = (&'a Instance, Presence)>,
     ) -> Vec<Action> {
-        let known = instances.into_iter().map(|it| (&*it.0.id, it)).collect();
-        let all = Instances { known };
+        let all = Instances::new(instances);
         self.forget(now, &all);
         self.waits = false;
         let window = self.settings.load_window.as_secs_f64();
@@ -412,7 +416,10 @@
             return;
         }
         self.sent.insert(id.clone(), Sent { at: now, order: order.clone() });
-        actions.push(Action { id: id.clone(), address: instance.address, order, premise });
+        let Instance { address, born, .. } = *instance;
+        let loads = order.weights().is_some_and(|it| !has(instance, it));
+        let uncounted = self.loads_free && loads;
+        actions.push(Action { id: id.clone(), address, born, order, uncounted, premise });
     }
 
     fn is_reachable(&self, now: Time, all: &Instances<'_>, id: &str) -> bool {
@@ -421,8 +428,11 @@
     }
 
     /// Whether an instance is a member of a replica that is known and that it has not left.
-    fn is_taken(&self, id: &Arc<str>) -> bool {
-        self.groups.values().any(|it| it.members.contains(id) && !it.gone.contains(id))
+    fn is_taken(&self, instance: &Instance) -> bool {
+        let Some(fabric) = &instance.fabric else { return false };
+        let id = &instance.id;
+        let mut groups = self.groups.within(fabric);
+        groups.any(|(_, it)| it.members.contains(id) && !it.gone.contains(id))
     }
 
     fn is_contested(&self, instance: &Instance) -> bool {
--- a/decision/src/gateway/formation/adopt.rs
+++ b/decision/src/gateway/formation/adopt.rs
@@ -28,9 +28,10 @@
                 None => seen.entry(key).or_default().push(instance),
             }
         }
+        let joining = self.joining();
         for (key, mut members) in seen {
             // Orders to both replicas would undo each other.
-            if members.iter().any(|it| self.is_to_join(&it.id)) {
+            if members.iter().any(|it| joining.contains(&it.id)) {
                 continue;
             }
             members.sort_by_key(|it| it.member.as_ref().map(|it| it.rank));
@@ -53,6 +54,7 @@
             let joining = states.iter().any(|(_, it)| *it == State::Joining);
             let group = Group {
                 model: model.name.clone(),
+                fabric: members[0].fabric.clone(),
                 members: members.iter().map(|it| it.id.clone()).collect(),
                 born: members.iter().map(|it| it.born).collect(),
                 since: now,
@@ -68,8 +70,9 @@
         }
     }
 
-    fn is_to_join(&self, id: &Arc<str>) -> bool {
-        let mut forming = self.groups.values().filter(|it| it.stage == Stage::Forming);
-        forming.any(|it| it.members.contains(id))
+    /// The members of replicas that form.
+    fn joining(&self) -> HashSet<Arc<str>> {
+        let forming = self.groups.values().filter(|it| it.stage == Stage::Forming);
+        forming.flat_map(|it| it.members.iter().cloned()).collect()
     }
 }
--- a/decision/src/gateway/formation/group.rs
+++ b/decision/src/gateway/formation/group.rs
@@ -5,13 +5,14 @@
 
 use super::Key;
 use super::order::Premise;
-use super::view::Instances;
 use crate::gateway::fleet::Instance;
 use crate::prelude::*;
 
 #[derive(Clone, Debug)]
 pub(super) struct Group {
     pub(super) model: Arc<str>,
+    /// The fabric domain of its members.
+    pub(super) fabric: Option<Arc<str>>,
     pub(super) members: Vec<Arc<str>>,
     pub(super) born: Vec<u64>,
     pub(super) since: Time,
@@ -63,11 +64,6 @@
         self.end(now);
     }
 
-    pub(super) fn is_in(&self, all: &Instances<'_>, fabric: &Arc<str>) -> bool {
-        let mut members = self.members.iter().filter_map(|it| all.recall(it));
-        members.any(|it| it.fabric.as_ref() == Some(fabric))
-    }
-
     pub(super) fn places(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
         self.members.iter().zip(self.born.iter().copied())
     }
--- a/decision/src/gateway/formation/life.rs
+++ b/decision/src/gateway/formation/life.rs
@@ -176,6 +176,6 @@
             let here = it.fabric == leaving.fabric && it.phase == Phase::Ready;
             here && has(it, &group.model) && !self.is_dead(now, it)
         });
-        free.filter(|it| !self.is_taken(&it.id) && !group.members.contains(&it.id)).count()
+        free.filter(|it| !self.is_taken(it) && !group.members.contains(&it.id)).count()
     }
 }
--- a/decision/src/gateway/formation/order.rs
+++ b/decision/src/gateway/formation/order.rs
@@ -61,6 +61,14 @@
 }
 
 impl Order {
+    /// The model whose weights it takes to the host, if they aren't there.
+    pub(super) fn weights(&self) -> Option<&str> {
+        match self {
+            Order::Join { model, .. } | Order::Stage { model } => Some(model),
+            Order::Open { .. } | Order::Close { .. } | Order::Leave { .. } => None,
+        }
+    }
+
     pub(super) fn leave((group, epoch): &(Arc<str>, u64)) -> Order {
         Order::Leave { group: group.clone(), epoch: *epoch }
     }
@@ -97,8 +105,12 @@
     pub id: Arc<str>,
     /// Where it listens.
     pub address: SocketAddr,
+    /// The start of it that is meant.
+    pub born: u64,
     /// What it shall do.
     pub order: Order,
+    /// Whether it begins a load that doesn't count as long as no caller was seen.
+    pub uncounted: bool,
     /// What it must say of itself before it is given the order, if that matters. It must not have
     /// taken another order since it said so.
     pub premise: Option<Premise>,
--- a/decision/src/gateway/formation/staging.rs
+++ b/decision/src/gateway/formation/staging.rs
@@ -29,13 +29,14 @@
         if self.loads_free && self.groups.values().any(loading) {
             return;
         }
+        let counts = self.counts();
         for (fabric, spares) in free {
             let listed = spares.iter().filter(|it| all.get(&it.id).is_some());
             let spares: &[&Instance] = &listed.copied().collect::<Vec<_>>();
             if !self.is_calm(now, fabric, spares) {
                 continue;
             }
-            for (id, model) in self.wanted(engine, all, fabric, spares) {
+            for (id, model) in self.wanted(engine, all, fabric, spares, &counts) {
                 if self.loading.contains_key(&id) {
                     continue;
                 }
@@ -108,13 +109,13 @@
         all: &Instances<'_>,
         fabric: &Arc<str>,
         spares: &[&Instance],
+        counts: &HashMap<Arc<str>, usize>,
     ) -> Vec<(Arc<str>, &'a Model)> {
-        let counts = self.counts();
-        let room = spares.len().saturating_sub(self.reserve(engine, all, fabric));
+        let room = spares.len().saturating_sub(self.reserve(engine, fabric));
         let possible = engine.models.iter().filter(|it| it.size <= room);
-        let possible = possible.filter(|it| is_due(it, engine, &counts));
+        let possible = possible.filter(|it| is_due(it, engine, counts));
         let calm = !self.is_hasty(all, fabric);
-        if let Some(model) = possible.min_by(|a, b| cost(a, &counts).total_cmp(&cost(b, &counts))) {
+        if let Some(model) = possible.min_by(|a, b| cost(a, counts).total_cmp(&cost(b, counts))) {
             let others = spares.iter().filter(|it| !has(it, &model.name));
             let mut others: Vec<_> = others.filter(|it| calm || it.staged.is_empty()).collect();
             others.sort_by_key(|it| !it.staged.is_empty());
@@ -126,12 +127,12 @@
             engine.models.iter().map(|it| (&*it.name, staged(spares, it))).collect();
         let mut loads = Vec::new();
         for spare in bare {
-            let Some(model) = self.missed(engine, all, fabric, &goal) else { continue };
+            let Some(model) = self.missed(engine, fabric, &goal, counts) else { continue };
             *goal.entry(&model.name).or_default() += 1;
             loads.push((spare.id.clone(), model));
         }
         if calm {
-            loads.extend(self.exchange(engine, all, fabric, spares, &goal));
+            loads.extend(self.exchange(engine, fabric, spares, &goal));
         }
         loads
     }
@@ -141,14 +142,13 @@
     pub(super) fn exchange<'a>(
         &self,
         engine: &'a Engine,
-        all: &Instances<'_>,
         fabric: &Arc<str>,
         spares: &[&Instance],
         goal: &HashMap<&str, usize>,
     ) -> Option<(Arc<str>, &'a Model)> {
         let count = |model: &Model| goal.get(&*model.name).copied().unwrap_or_default();
-        let served = engine.models.iter().all(|it| self.is_served(all, fabric, it));
-        let model = self.needed(engine, all, fabric, &HashMap::new())?;
+        let served = engine.models.iter().all(|it| self.is_served(fabric, it));
+        let model = self.needed(engine, fabric, &HashMap::new())?;
         if !served || count(model) > 0 {
             return None;
         }
@@ -161,24 +161,23 @@
     pub(super) fn missed<'a>(
         &self,
         engine: &'a Engine,
-        all: &Instances<'_>,
         fabric: &Arc<str>,
         goal: &HashMap<&str, usize>,
+        counts: &HashMap<Arc<str>, usize>,
     ) -> Option<&'a Model> {
-        let counts = self.counts();
         let lacks = |it: &&Model| {
             let staged = goal.get(&*it.name).copied().unwrap_or_default();
-            staged < it.size && !self.is_served(all, fabric, it)
+            staged < it.size && !self.is_served(fabric, it)
         };
         let absent = engine.models.iter().filter(lacks);
-        let absent = absent.min_by(|a, b| cost(a, &counts).total_cmp(&cost(b, &counts)));
-        absent.or_else(|| self.needed(engine, all, fabric, goal))
+        let absent = absent.min_by(|a, b| cost(a, counts).total_cmp(&cost(b, counts)));
+        absent.or_else(|| self.needed(engine, fabric, goal))
     }
 
     /// Whether `fabric` has a replica of `model`.
-    pub(super) fn is_served(&self, all: &Instances<'_>, fabric: &Arc<str>, model: &Model) -> bool {
-        let mut groups = self.groups.values().filter(|it| it.model == model.name);
-        groups.any(|it| it.gone.is_empty() && it.is_in(all, fabric))
+    pub(super) fn is_served(&self, fabric: &Arc<str>, model: &Model) -> bool {
+        let mut groups = self.groups.within(fabric);
+        groups.any(|(_, it)| it.model == model.name && it.gone.is_empty())
     }
 
     /// Whether instances of `fabric` are probably only cut off. They come back with their weights
@@ -192,13 +191,12 @@
     pub(super) fn needed<'a>(
         &self,
         engine: &'a Engine,
-        all: &Instances<'_>,
         fabric: &Arc<str>,
         covered: &HashMap<&str, usize>,
     ) -> Option<&'a Model> {
         let exposed = |model: &Model| {
-            let groups = self.groups.values().filter(|it| it.model == model.name);
-            groups.filter(|it| it.is_in(all, fabric)).count() * model.size
+            let groups = self.groups.within(fabric);
+            groups.filter(|(_, it)| it.model == model.name).count() * model.size
         };
         let need = |model: &Model| {
             let covered = covered.get(&*model.name).copied().unwrap_or_default() as f64;
--- a/decision/src/gateway/formation/supply.rs
+++ b/decision/src/gateway/formation/supply.rs
@@ -20,10 +20,9 @@
         all: &Instances<'a>,
         actions: &mut Vec<Action>,
     ) -> BTreeMap<Arc<str>, Vec<&'a Instance>> {
-        let members =
-            |it: &Group| it.members.iter().filter(|id| !it.gone.contains(*id)).cloned().collect();
-        let taken: HashSet<Arc<str>> =
-            self.groups.values().flat_map(|it| -> Vec<Arc<str>> { members(it) }).collect();
+        let groups = self.groups.values();
+        let members = groups.flat_map(|it| it.members.iter().filter(|id| !it.gone.contains(*id)));
+        let taken: HashSet<&str> = members.map(|it| &**it).collect();
         let mut strays = Vec::new();
         let mut free: BTreeMap<Arc<str>, Vec<&Instance>> = BTreeMap::new();
         for (instance, presence) in all.known.values() {
@@ -66,7 +65,7 @@
             let counts = self.counts();
             let mut best: Option<(f64, &Model, Arc<str>)> = None;
             for (fabric, instances) in free.iter() {
-                let room = instances.len().saturating_sub(self.reserve(engine, all, fabric));
+                let room = instances.len().saturating_sub(self.reserve(engine, fabric));
                 let fits = engine.models.iter().filter(|it| it.size <= room);
                 for model in fits.filter(|it| self.is_formable(all, it, instances)) {
                     if is_in_the_way(engine, model, &counts, room) {
@@ -86,8 +85,8 @@
 
     /// Instances of a fabric domain that stay free to heal its replicas, once it has one of each
     /// model.
-    pub(super) fn reserve(&self, engine: &Engine, all: &Instances<'_>, fabric: &Arc<str>) -> usize {
-        let here = |it: &Model| self.is_served(all, fabric, it);
+    pub(super) fn reserve(&self, engine: &Engine, fabric: &Arc<str>) -> usize {
+        let here = |it: &Model| self.is_served(fabric, it);
         if engine.models.iter().all(here) { self.settings.reserve } else { 0 }
     }
 
@@ -145,6 +144,7 @@
         }
         let formed = Group {
             model: model.name.clone(),
+            fabric: chosen[0].fabric.clone(),
             members: chosen.iter().map(|it| it.id.clone()).collect(),
             born: chosen.iter().map(|it| it.born).collect(),
             since: now,
@@ -181,11 +181,11 @@
         for (fabric, instances) in free {
             let calm = self.calm.get(fabric);
             let long = calm.is_some_and(|(_, it)| now.since(*it) >= self.settings.rebalance);
-            let wanted = !self.is_served(all, fabric, missed) && instances.len() < missed.size;
+            let wanted = !self.is_served(fabric, missed) && instances.len() < missed.size;
             if !long || !wanted || self.is_hasty(all, fabric) {
                 continue;
             }
-            let keys = self.in_the_way(engine, all, fabric, missed, free);
+            let keys = self.in_the_way(engine, fabric, missed, free);
             for key in &keys {
                 let Some(group) = self.groups.get_mut(key) else { continue };
                 group.give_way(now);
@@ -203,7 +203,6 @@
     fn in_the_way(
         &self,
         engine: &Engine,
-        all: &Instances<'_>,
         fabric: &Arc<str>,
         missed: &Model,
         free: &BTreeMap<Arc<str>, Vec<&Instance>>,
@@ -212,14 +211,14 @@
         let least = cost(missed, &counts);
         let mut room = free.get(fabric).map_or(0, Vec::len);
         let mut keys = Vec::new();
-        for (key, group) in self.groups.iter().filter(|(_, it)| it.is_in(all, fabric)) {
+        for (key, group) in self.groups.within(fabric) {
             if room >= missed.size {
                 break;
             }
             let Some(model) = engine.model(&group.model) else { continue };
             let ahead = last_cost(model, &counts) >= FAR_AHEAD * least;
             let elsewhere = |(it, free): (&Arc<str>, &Vec<&Instance>)| {
-                it != fabric && free.len() >= model.size && !self.is_served(all, it, model)
+                it != fabric && free.len() >= model.size && !self.is_served(it, model)
             };
             if model.name == missed.name || !(ahead || free.iter().any(elsewhere)) {
                 continue;
--- a/decision/src/gateway/formation/view.rs
+++ b/decision/src/gateway/formation/view.rs
@@ -10,9 +10,20 @@
 #[derive(Debug, Default)]
 pub(super) struct Instances<'a> {
     pub(super) known: BTreeMap<&'a str, (&'a Instance, Presence)>,
+    /// Those of them whose entries are gone since a moment ago.
+    departed: Vec<&'a Instance>,
 }
 
 impl<'a> Instances<'a> {
+    pub(super) fn new(
+        instances: impl IntoIterator<Item = (&'a Instance, Presence)>,
+    ) -> Instances<'a> {
+        let known: BTreeMap<_, _> = instances.into_iter().map(|it| (&*it.0.id, it)).collect();
+        let departed = known.values().filter(|(_, it)| *it == Presence::Departed);
+        let departed = departed.map(|(it, _)| *it).collect();
+        Instances { known, departed }
+    }
+
     /// The instance called `id`, also if its entry is gone.
     pub(super) fn recall(&self, id: &str) -> Option<&'a Instance> {
         self.known.get(id).map(|(it, _)| *it)
@@ -26,8 +37,8 @@
 
     /// The instances of a fabric domain whose entries are gone since a moment ago.
     pub(super) fn departed(&self, fabric: &Arc<str>) -> impl Iterator<Item = &'a Instance> {
-        let gone = self.known.values().filter(|(_, it)| *it == Presence::Departed);
-        gone.map(|(it, _)| *it).filter(move |it| it.fabric.as_ref() == Some(fabric))
+        let departed = self.departed.iter().copied();
+        departed.filter(move |it| it.fabric.as_ref() == Some(fabric))
     }
 
     /// All that are listed.
--- a/decision/tests/gateway/formation.rs
+++ b/decision/tests/gateway/formation.rs
@@ -1,8 +1,11 @@
 use std::sync::Arc;
 
+use decision::gateway::fleet::{Instance, Presence};
+use decision::gateway::formation::{Formation, Settings};
 use proptest::prelude::*;
 use rstest::rstest;
 
+use crate::support::{at, engine, instance};
 use crate::world::World;
 
 /// Two fabric domains in which all replicas serve, and whose loads count from now on.
@@ -276,3 +279,26 @@
         prop_assert!(world.serving("small") >= 2, "small: {}", world.serving("small"));
     }
 }
+
+#[test]
+fn loads_that_only_count_once_callers_come_are_marked() {
+    let instances: Vec<_> = (0..6).map(|it| instance(&format!("i{it}"), "f0")).collect();
+    let plan = |staged: bool| {
+        let mut formation = Formation::new(1, Settings::default());
+        formation.free_loads(true);
+        let instances: Vec<_> = instances
+            .iter()
+            .map(|it| Instance {
+                staged: if staged { vec!["large".into()] } else { Vec::new() },
+                ..it.clone()
+            })
+            .collect();
+        let known = || instances.iter().map(|it| (it, Presence::Listed));
+        formation.plan(at(0), &engine(), known());
+        let actions = formation.plan(at(1_000), &engine(), known());
+        assert_eq!(actions.len(), 6);
+        actions.into_iter().filter(|it| it.uncounted).count()
+    };
+    assert_eq!(plan(false), 6);
+    assert_eq!(plan(true), 0);
+}
--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -6,6 +6,7 @@
 
 use std::iter;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use decision::gateway::fleet::Report;
 use decision::gateway::formation::{Action, Order, Premise, Taken, Verdict};
@@ -48,6 +49,7 @@
 pub(crate) async fn give<P: Platform>(shared: &Shared<P>, action: &Action, fence: u64) -> Outcome {
     let list_age_ms = list_age(shared);
     let (outcome, result) = match &action.premise {
+        _ if is_overtaken(shared, action, fence) => (Outcome::Contested, "overtaken".to_owned()),
         Some(premise) => give_if(shared, action, premise, fence).await,
         None => send(shared, action, fence, None).await,
     };
@@ -63,6 +65,12 @@
     outcome
 }
 
+/// Whether an order has waited for so long that the plan which it is a part of holds no more.
+fn is_overtaken<P>(shared: &Shared<P>, action: &Action, fence: u64) -> bool {
+    let seen = shared.seen.load(Ordering::Relaxed);
+    shared.peers.owned() != Some(fence) || (action.uncounted && seen)
+}
+
 /// Gives the order if the premise holds and goes on to hold.
 async fn give_if<P: Platform>(
     shared: &Shared<P>,
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -12,7 +12,7 @@
 use decision::gateway::formation::{self, Action, Doubt, Formation, Order, Taken};
 use decision::prelude::*;
 use http::StatusCode;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio::time::{sleep, timeout};
 
 use crate::follow;
@@ -25,6 +25,9 @@
 /// Pause between two plans without news.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Shortest pause between two plans.
+const GATHER: Duration = Duration::from_millis(5);
+
 /// Time without the store after which a peer that reaches it had better own the replicas.
 const STALE: Duration = Duration::from_millis(1_200);
 
@@ -43,6 +46,13 @@
 /// The same, for an instance that no replica depends on.
 const SPARE_PAUSE: Duration = Duration::from_millis(1_300);
 
+/// Orders that are given at the same time. What waits longer behind them is the word by which
+/// peers know that the owner lives.
+const ORDERS: usize = 96;
+
+/// Part of its time that an owner may spend on plans: one in so many.
+const PLAN_PART: u32 = 4;
+
 /// Questions without an answer after which an instance counts as lost.
 const MISSES: u32 = 2;
 
@@ -84,6 +94,10 @@
     store_at: Time,
     reading: Reading,
     probes: HashMap<Arc<str>, Probe>,
+    /// Orders that are being given, or wait for it.
+    pending: HashMap<Arc<str>, Order>,
+    /// Places for those that are being given.
+    places: Arc<Semaphore>,
     results: mpsc::Sender<Result>,
 }
 
@@ -108,6 +122,8 @@
         store_at: vacant_since,
         reading: Reading::Idle,
         probes: HashMap::new(),
+        pending: HashMap::new(),
+        places: Arc::new(Semaphore::new(ORDERS)),
         results,
     };
     loop {
@@ -119,9 +135,10 @@
         while let Ok(result) = receiver.try_recv() {
             owner.take(result);
         }
+        let began = shared.now();
         owner.turn().await;
-        // Gathers news that come together.
-        sleep(Duration::from_millis(5)).await;
+        // Gathers news that come together, and leaves time for what else the entry does.
+        sleep((shared.now().since(began) * (PLAN_PART - 1)).clamp(GATHER, TICK)).await;
     }
 }
 
@@ -302,9 +319,7 @@
             doubtful.extend(formation.doubtful());
             tell(&self.shared, &service.name, formation);
             for action in actions {
-                let born = instances.iter().find(|(it, _)| it.id == action.id);
-                let born = born.map(|(it, _)| it.born);
-                self.order(fence, action, born.unwrap_or_default());
+                self.order(fence, action);
             }
         }
         if self.formations.values().any(Formation::waits_for_lease) {
@@ -372,11 +387,19 @@
         });
     }
 
-    fn order(&self, fence: u64, action: Action, born: u64) {
+    /// Gives an order, unless it is waiting to be given.
+    fn order(&mut self, fence: u64, action: Action) {
+        if self.pending.get(&action.id) == Some(&action.order) {
+            return;
+        }
+        self.pending.insert(action.id.clone(), action.order.clone());
         let (shared, results) = (self.shared.clone(), self.results.clone());
+        let places = self.places.clone();
         tokio::spawn(async move {
+            // The semaphore is never closed.
+            let _place = places.acquire().await;
             let outcome = order::give(&shared, &action, fence).await;
-            let Action { id, order, .. } = action;
+            let Action { id, born, order, .. } = action;
             // Without a receiver the process ends.
             let _sent = results.send(Result::Order { id, born, order, outcome }).await;
         });
@@ -388,6 +411,9 @@
             Result::Probe { id, born, alive } => self.probed(now, &id, born, alive),
             Result::Lease { fence, asked, held } => self.confirmed(fence, asked, held),
             Result::Order { id, born, order, outcome } => {
+                if self.pending.get(&id) == Some(&order) {
+                    self.pending.remove(&id);
+                }
                 if outcome == Outcome::Answered(Taken::Fenced) {
                     return self.fenced(&id, &order);
                 }
