Let hubs stand between many entries, and heed targets that leave or want a rest

Cause: each told each of its failure domain twenty times a second, readers told all 156 entries of the others, and what did not fit into 64 items was dropped in the order of a hash map, without a word.

Change, decision::exchange: of more than 13 entries, each tells the hub of its failure domain (the strongest that speaks) and hears from it what all others have in progress together, without its own part; hubs tell each other their sums. An entry's cost is flat; a hub's grows with its failure domain up to a bound, beyond which it speaks less often. Loads take 9 bytes each and come in as many parts as they need, nothing is cut. Who owns, reads the store and adds up are the strongest entries (new setting cores). Messages of another version or that can't be read are counted and noted. Counters: datagrams sent, heard and unread, peers.

DRAIN: a target that says in any answer that it leaves gets nothing more from this entry, whatever the list shows later, and peers hear of it. BUDGET: a target that turns a request away and wants nothing for a while is left alone for so long, placement goes elsewhere, and when all rest callers are told when the first is back. What can't be read is noted, not heeded.

Tests: decision exchange, entries_hear_of_all_others_from_one, the_next_entry_follows_a_hub_that_is_gone, platform wishes. Ruled out: differences and digests (loads change with each request, so that most items are new each round); a tree of more levels (a hub's datagrams stay below 1,600 a second at 1,000 entries).

--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -15,6 +15,7 @@
 pub mod candidate;
 pub mod config;
 pub mod engine;
+pub mod exchange;
 pub mod fleet;
 pub mod formation;
 pub mod route;
--- a/decision/src/gateway/balance.rs
+++ b/decision/src/gateway/balance.rs
@@ -17,7 +17,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 pub use ask::{Ask, Choice, End};
-pub use target::{Load, Target};
+pub use target::{Load, Part, Target};
 
 use crate::gateway::engine::Engine;
 use crate::gateway::warmup;
@@ -65,6 +65,8 @@
     tracks: SlotMap<Key, Track>,
     random: Pcg64Mcg,
     entries: Vec<u64>,
+    /// Until when instances are left alone, by name and start. Outlives their replicas.
+    rests: HashMap<(Arc<str>, u64), Time>,
 }
 
 #[derive(Debug, Default)]
@@ -99,6 +101,7 @@
             pools: HashMap::new(),
             tracks: SlotMap::with_key(),
             entries: Vec::new(),
+            rests: HashMap::new(),
             settings,
         }
     }
@@ -117,6 +120,7 @@
         warmup_rate: f64,
         targets: impl IntoIterator<Item = (Target, Duration)>,
     ) {
+        self.rests.retain(|_, until| *until > now);
         let mut pool = self.pools.remove(service).unwrap_or_default();
         pool.engine = engine.cloned().unwrap_or_default();
         pool.warmup_rate = warmup_rate;
@@ -136,7 +140,12 @@
                     track.cold_until = track.cold_until.max(cold_until);
                     key
                 }
-                None => self.tracks.insert(Track::new(now, service.clone(), target, cold_until)),
+                None => {
+                    let start = (target.id.clone(), target.life.0);
+                    let rest_until = self.rests.get(&start).copied();
+                    let track = Track::new(now, service.clone(), target, cold_until);
+                    self.tracks.insert(Track { rest_until, ..track })
+                }
             };
             pool.keys.push(key);
         }
@@ -193,10 +202,14 @@
                 continue;
             }
             some = true;
+            if let Some(until) = track.rest_until.filter(|it| *it > now) {
+                soonest = soonest.min(until.since(now).as_secs_f64() * 1_000.0);
+                continue;
+            }
             let cold = track.cold_until > now;
             if cold {
                 let own = self.settings.own;
-                let share = warmup::share(pool.warmup_rate, track.hash(), own, &self.entries);
+                let share = warmup::share(pool.warmup_rate, track.hash, own, &self.entries);
                 if !track.limiter.has_room(now, share) {
                     soonest = soonest.min(100.0);
                     continue;
@@ -259,6 +272,14 @@
         }
     }
 
+    /// Leaves a target alone until then, since it asked for that.
+    pub fn rest(&mut self, key: Key, until: Time) {
+        let Some(track) = self.tracks.get_mut(key) else { return };
+        track.rest_until = track.rest_until.max(Some(until));
+        let start = (track.target.id.clone(), track.target.life.0);
+        self.rests.insert(start, until);
+    }
+
     /// Notes a sign of life of the target.
     pub fn hear(&mut self, now: Time, key: Key) {
         if let Some(track) = self.tracks.get_mut(key) {
@@ -336,10 +357,12 @@
         self.tracks.values().filter(|it| it.listed).map(|it| (&it.target, it.own))
     }
 
-    /// Takes what the peer `from` has in progress. Targets that it doesn't name have nothing.
-    pub fn hear_peer(&mut self, now: Time, from: u64, loads: &HashMap<u64, Load>) {
-        for track in self.tracks.values_mut().filter(|it| it.listed) {
-            match loads.get(&track.hash()) {
+    /// Takes what the peer `from` has in progress on `part` of the targets. Those that it doesn't
+    /// name have nothing.
+    pub fn hear_peer(&mut self, now: Time, from: u64, part: Part, loads: &HashMap<u32, Load>) {
+        let tracks = self.tracks.values_mut();
+        for track in tracks.filter(|it| it.listed && part.holds(it.tag)) {
+            match loads.get(&track.tag) {
                 Some(load) => {
                     let quiet = Duration::from_millis(u64::from(load.quiet_ms));
                     track.peer_heard = track.peer_heard.max(now.back(quiet));
@@ -350,23 +373,28 @@
         }
     }
 
-    /// What this entry has in progress, by the hash of the target.
-    pub fn loads(&self, now: Time) -> Vec<(u64, Load)> {
+    /// What this entry has in progress, by the tag of the target.
+    pub fn loads(&self, now: Time) -> HashMap<u32, Load> {
         let busy = self.tracks.values().filter(|it| it.own.running > 0);
         let load = |it: &Track| {
             let silent = if it.writing { now.since(it.heard) } else { Duration::MAX };
             let quiet_ms = u32::try_from(silent.as_millis()).unwrap_or(u32::MAX);
-            (it.hash(), Load { quiet_ms, ..it.own })
+            (it.tag, Load { quiet_ms, ..it.own })
         };
         busy.map(load).collect()
     }
 }
 
-/// The hash by which peers name a target.
+/// The hash of a name.
 pub fn hash(id: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(id.as_bytes())
 }
 
+/// The tag by which peers name a target: the lower half of its hash.
+pub fn tag(id: &str) -> u32 {
+    hash(id) as u32
+}
+
 fn small(tokens: u64) -> u32 {
     u32::try_from(tokens).unwrap_or(u32::MAX)
 }
--- a/decision/src/gateway/balance/target.rs
+++ b/decision/src/gateway/balance/target.rs
@@ -36,3 +36,26 @@
     /// Milliseconds since its last event.
     pub quiet_ms: u32,
 }
+
+/// Part of the targets, by their tags.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Which one, from 0 on.
+    pub index: u8,
+    /// How many there are.
+    pub count: u8,
+}
+
+impl Default for Part {
+    /// All of them.
+    fn default() -> Part {
+        Part { index: 0, count: 1 }
+    }
+}
+
+impl Part {
+    /// Whether the target with this tag belongs to it.
+    pub fn holds(self, tag: u32) -> bool {
+        tag % u32::from(self.count.max(1)) == u32::from(self.index)
+    }
+}
--- a/decision/src/gateway/balance/track.rs
+++ b/decision/src/gateway/balance/track.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::{Ask, Load, Settings, Target, hash};
+use super::{Ask, Load, Settings, Target, hash, tag};
 use crate::gateway::engine::Engine;
 use crate::gateway::warmup::Limiter;
 use crate::prelude::*;
@@ -26,9 +26,14 @@
 #[derive(Debug)]
 pub(super) struct Track {
     pub(super) target: Target,
+    /// The hash of its name, and the tag by which peers name it.
+    pub(super) hash: u64,
+    pub(super) tag: u32,
     pub(super) service: Arc<str>,
     pub(super) listed: bool,
     pub(super) cold_until: Time,
+    /// Until when it wants to be left alone.
+    pub(super) rest_until: Option<Time>,
     pub(super) own: Load,
     pub(super) peers: HashMap<u64, (Time, Load)>,
     pub(super) limiter: Limiter,
@@ -66,10 +71,13 @@
 impl Track {
     pub(super) fn new(now: Time, service: Arc<str>, target: Target, cold_until: Time) -> Track {
         Track {
+            hash: hash(&target.id),
+            tag: tag(&target.id),
             target,
             service,
             listed: true,
             cold_until,
+            rest_until: None,
             own: Load::default(),
             peers: HashMap::new(),
             limiter: Limiter::default(),
@@ -89,10 +97,6 @@
         self.suspect.is_none_or(|it| it.trial_at <= now)
     }
 
-    pub(super) fn hash(&self) -> u64 {
-        hash(&self.target.id)
-    }
-
     /// What all entries have in progress.
     pub(super) fn load(&self, now: Time) -> Load {
         let mut sum = self.own;
--- a/decision/src/gateway/candidate.rs
+++ b/decision/src/gateway/candidate.rs
@@ -3,6 +3,7 @@
 //! Nothing depends on the order of the candidates: the store lets one of them win. It makes the
 //! one win that knows most, as a rule without a race.
 
+use crate::gateway::exchange::Rank;
 use crate::prelude::*;
 
 /// How long candidates wait for each other.
@@ -21,6 +22,8 @@
 pub struct Candidate {
     /// Its name.
     pub name: String,
+    /// Thousandths of a core that it may use. An owner has much to do.
+    pub millicores: u32,
     /// Whether it reaches the store.
     pub store: bool,
     /// Whether it has watched the instances for long enough to know those that are cut off from
@@ -38,12 +41,13 @@
     }
 }
 
-/// Time without an owner after which `own` takes over, given the living candidates among `entries`
-/// entries in all. None if it can't.
+/// Time without an owner after which `own` takes over, given the other living candidates that come
+/// first. `alive` of the other `entries` live. None if it can't.
 pub fn pause(
     settings: &Settings,
     own: &Candidate,
     others: &[Candidate],
+    alive: usize,
     entries: usize,
 ) -> Option<Duration> {
     if !own.store {
@@ -51,7 +55,7 @@
     }
     let before = others.iter().filter(|it| it.store && it.rank() < own.rank()).count();
     let before = u32::try_from(before).unwrap_or(u32::MAX);
-    let minority = (others.len() + 1) * 2 < entries;
+    let minority = (alive + 1) * 2 < entries;
     let longer = if minority { settings.minority } else { Duration::ZERO };
     Some(settings.vacant + settings.step.saturating_mul(before) + longer)
 }
@@ -66,7 +70,8 @@
 }
 
 impl Candidate {
-    fn rank(&self) -> (bool, &str) {
-        (!self.seasoned, &self.name)
+    /// Candidates take over in this order.
+    pub fn rank(&self) -> (bool, Rank<'_>) {
+        (!self.seasoned, Rank::new(&self.name, self.millicores))
     }
 }
--- a/decision/src/gateway/fleet.rs
+++ b/decision/src/gateway/fleet.rs
@@ -135,6 +135,9 @@
     /// Entries that were gone while they were held.
     missing: HashSet<Arc<str>>,
     evacuated: HashSet<Arc<str>>,
+    /// Instances that said they leave, each with the start that said so and when it did. The list
+    /// may not show it, or later.
+    leaving: HashMap<Arc<str>, (u64, Time)>,
     /// Instances whose entries are gone.
     departed: BTreeMap<Arc<str>, Departed>,
     changes: u64,
@@ -146,6 +149,12 @@
 /// Time for which an instance whose entry is gone is remembered.
 pub const DEPARTED: Duration = Duration::from_secs(15);
 
+/// Time for which it is remembered that an instance said it leaves, longer than any takes for it.
+const LEAVING: Duration = Duration::from_secs(120);
+
+/// Time for which peers are told so.
+const LEAVING_TOLD: Duration = Duration::from_secs(10);
+
 #[derive(Clone, Debug)]
 struct Listed {
     instance: Arc<Instance>,
@@ -188,8 +197,11 @@
     pub fn change(&mut self, now: Time, change: Change) {
         self.changes += 1;
         match change {
-            Change::Put(instance) => {
+            Change::Put(mut instance) => {
                 self.missing.remove(&instance.id);
+                if self.leaving.get(&instance.id).is_some_and(|it| it.0 == instance.born) {
+                    instance.phase = Phase::Draining;
+                }
                 let id = instance.id.clone();
                 self.departed.remove(&id);
                 self.instances.insert(id, Listed { instance: Arc::new(instance), seen: now });
@@ -209,6 +221,30 @@
         }
     }
 
+    /// Notes that an instance leaves, by its own word. Returns whether that is news.
+    pub fn leaves(&mut self, now: Time, id: &str, born: u64) -> bool {
+        self.leaving.retain(|_, (_, at)| now.since(*at) < LEAVING);
+        let Some(listed) = self.instances.get_mut(id).filter(|it| it.instance.born == born) else {
+            return false;
+        };
+        if self.leaving.get(id).is_some_and(|it| it.0 == born) {
+            return false;
+        }
+        self.leaving.insert(listed.instance.id.clone(), (born, now));
+        Arc::make_mut(&mut listed.instance).phase = Phase::Draining;
+        self.changes += 1;
+        true
+    }
+
+    /// Instances that said lately that they leave, each with the start that said so, the latest
+    /// first.
+    pub fn leaving(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        let lately = self.leaving.iter().filter(move |(_, it)| now.since(it.1) < LEAVING_TOLD);
+        let mut lately: Vec<_> = lately.collect();
+        lately.sort_by_key(|(id, (_, at))| (std::cmp::Reverse(*at), (*id).clone()));
+        lately.into_iter().map(|(id, (born, _))| (id, *born))
+    }
+
     /// Takes what an instance said of itself whose entry is gone, since the list can't say it.
     pub fn observe(&mut self, id: &str, report: Report) {
         let Some(departed) = self.departed.get_mut(id) else { return };
--- a/decision/tests/gateway/balance.rs
+++ b/decision/tests/gateway/balance.rs
@@ -1,7 +1,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use decision::gateway::balance::{Ask, Balance, Choice, End, Key, Load, Settings, Target, hash};
+use decision::gateway::balance::{
+    Ask, Balance, Choice, End, Key, Load, Part, Settings, Target, tag,
+};
 use decision::prelude::*;
 
 use crate::support::{at, engine, ms, target};
@@ -58,7 +60,7 @@
 fn what_peers_have_in_progress_counts() {
     let mut balance = balance(&[target("x", "a", Some("large")), target("y", "a", Some("large"))]);
     let busy = Load { running: 4, prefill: 0, quiet_ms: 0 };
-    balance.hear_peer(at(0), 1, &HashMap::from([(hash("x"), busy)]));
+    balance.hear_peer(at(0), 1, Part::default(), &HashMap::from([(tag("x"), busy)]));
     for _ in 0..3 {
         let key = send(&mut balance, at(0), &ask());
         assert_eq!(&*id(&balance, key), "y");
@@ -127,7 +129,7 @@
     let mut balance = balance(&[target("x", "a", Some("large"))]);
     let key = send(&mut balance, at(0), &ask());
     let heard = Load { running: 1, prefill: 0, quiet_ms: 20 };
-    balance.hear_peer(at(400), 1, &HashMap::from([(hash("x"), heard)]));
+    balance.hear_peer(at(400), 1, Part::default(), &HashMap::from([(tag("x"), heard)]));
     assert!(!balance.check_silence(at(500), key));
     assert!(balance.check_silence(at(2_000), key));
 }
--- a/decision/tests/gateway/candidate.rs
+++ b/decision/tests/gateway/candidate.rs
@@ -6,33 +6,40 @@
 const SETTINGS: Settings = Settings { vacant: ms(250), step: ms(700), minority: ms(4_000) };
 
 fn candidate(name: &str) -> Candidate {
-    Candidate { name: name.to_owned(), store: true, seasoned: true }
+    Candidate { name: name.to_owned(), millicores: 250, store: true, seasoned: true }
 }
 
 #[test]
 fn candidates_wait_in_the_order_of_their_names() {
     let others = [candidate("a"), candidate("c")];
-    assert_eq!(pause(&SETTINGS, &candidate("b"), &others, 3), Some(ms(950)));
+    assert_eq!(pause(&SETTINGS, &candidate("b"), &others, 2, 3), Some(ms(950)));
 }
 
 #[test]
 fn an_entry_that_has_just_started_comes_after_those_that_know_more() {
     let fresh = Candidate { seasoned: false, ..candidate("a") };
-    assert_eq!(pause(&SETTINGS, &fresh, &[candidate("b")], 2), Some(ms(950)));
-    assert_eq!(pause(&SETTINGS, &candidate("b"), &[fresh], 2), Some(ms(250)));
+    assert_eq!(pause(&SETTINGS, &fresh, &[candidate("b")], 1, 2), Some(ms(950)));
+    assert_eq!(pause(&SETTINGS, &candidate("b"), &[fresh], 1, 2), Some(ms(250)));
+}
+
+#[test]
+fn the_strongest_entry_comes_first() {
+    let strong = Candidate { millicores: 500, ..candidate("z") };
+    assert_eq!(pause(&SETTINGS, &strong, &[candidate("a")], 1, 2), Some(ms(250)));
+    assert_eq!(pause(&SETTINGS, &candidate("a"), &[strong], 1, 2), Some(ms(950)));
 }
 
 #[test]
 fn nobody_waits_for_an_entry_without_the_store_and_it_takes_nothing() {
     let away = Candidate { store: false, ..candidate("a") };
-    assert_eq!(pause(&SETTINGS, &away, &[candidate("b")], 2), None);
-    assert_eq!(pause(&SETTINGS, &candidate("b"), &[away], 2), Some(ms(250)));
+    assert_eq!(pause(&SETTINGS, &away, &[candidate("b")], 1, 2), None);
+    assert_eq!(pause(&SETTINGS, &candidate("b"), &[away], 1, 2), Some(ms(250)));
 }
 
 #[test]
 fn an_entry_that_hears_few_of_the_others_leaves_it_to_them() {
-    assert_eq!(pause(&SETTINGS, &candidate("a"), &[candidate("b")], 5), Some(ms(4_250)));
-    assert_eq!(pause(&SETTINGS, &candidate("a"), &[candidate("b")], 4), Some(ms(250)));
+    assert_eq!(pause(&SETTINGS, &candidate("a"), &[candidate("b")], 1, 5), Some(ms(4_250)));
+    assert_eq!(pause(&SETTINGS, &candidate("a"), &[candidate("b")], 1, 4), Some(ms(250)));
 }
 
 #[rstest]
--- a/decision/tests/gateway/main.rs
+++ b/decision/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod candidate;
 mod ending;
+mod exchange;
 mod fleet;
 mod formation;
 mod owner;
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -197,7 +197,8 @@
     let settings = shared.settings();
     let (store, name) = (settings.store, settings.instance.as_str());
     let failure_domain = settings.failure_domain.clone();
-    let entry = Entry { address: settings.listen.peers, failure_domain };
+    let millicores = settings.millicores();
+    let entry = Entry { address: settings.listen.peers, failure_domain, millicores };
     let Ok(value) = serde_json::to_value(&entry) else { return };
     let mut when = When::Absent;
     loop {
--- a/gateway/src/journal.rs
+++ b/gateway/src/journal.rs
@@ -4,6 +4,7 @@
 //! it can't keep up, lines are dropped and counted; requests never wait for it.
 
 use std::io::Write;
+use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -81,6 +82,12 @@
         pause_ms: u64,
         total_ms: u64,
     },
+    /// A target says that it leaves.
+    Leaving { target: &'a str },
+    /// A target wants to be left alone for a while.
+    Resting { target: &'a str, rest_ms: u64 },
+    /// Something that a target said of itself can't be read. It is not heeded.
+    Unheeded { target: &'a str, what: &'a str, reason: &'a str },
     /// A target is suspect: its streams are silent, or it fails.
     Suspect { target: &'a str, silent_ms: u64 },
     /// An instance can't be reached.
@@ -108,6 +115,8 @@
         reason: &'a str,
         fence: u64,
     },
+    /// A datagram can't be read. Not all of them are noted.
+    Garbled { from: SocketAddr, reason: &'a str },
     /// Objects of other writers can't be read.
     Unreadable { kind: Kind, count: usize },
     /// Lines were dropped since the last such line.
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use decision::gateway::balance::hash;
+use decision::gateway::balance::tag;
 use decision::gateway::candidate::{self, Candidate};
 use decision::gateway::fleet::{Instance, Presence};
 use decision::gateway::formation::{self, Action, Doubt, Formation, Order, Taken};
@@ -176,13 +176,17 @@
         if !known || self.is_stopping() {
             return false;
         }
+        let settings = self.shared.settings();
         let own = Candidate {
-            name: self.shared.settings().instance.clone(),
+            name: settings.instance.clone(),
+            millicores: settings.millicores(),
             store: self.shared.is_store_up(),
             seasoned: self.shared.is_seasoned(),
         };
         let others = self.shared.peers.candidates(now);
-        let pause = candidate::pause(&candidate::Settings::default(), &own, &others, entries);
+        let alive = self.shared.peers.alive(now, &settings.failure_domain);
+        let waits = candidate::Settings::default();
+        let pause = candidate::pause(&waits, &own, &others, alive, entries);
         pause.is_some_and(|it| now.since(self.vacant_since) >= it)
     }
 
@@ -353,12 +357,12 @@
 
     /// Asks the members of suspect replicas whether they live.
     fn probe_suspects(&mut self, now: Time) {
-        let mut counts = self.shared.peers.suspects(now);
+        let mut tags = self.shared.peers.suspects(now);
         let balance = self.shared.balance();
-        balance.suspects().for_each(|it| *counts.entry(hash(&it.id)).or_default() += 1);
+        tags.extend(balance.suspects().map(|it| tag(&it.id)));
         let suspects: Vec<Vec<Arc<str>>> = balance
             .targets()
-            .filter(|(it, _)| it.model.is_some() && counts.contains_key(&hash(&it.id)))
+            .filter(|(it, _)| it.model.is_some() && tags.contains(&tag(&it.id)))
             .map(|(it, _)| it.members.clone())
             .collect();
         drop(balance);
--- a/gateway/src/port.rs
+++ b/gateway/src/port.rs
@@ -129,6 +129,10 @@
     pub run: Run,
     /// Whether the body is encoded, and so not the target's.
     pub encoded: bool,
+    /// Whether the target leaves, if that can be read.
+    pub leaving: Result<bool, Malformed>,
+    /// How long the target wants to be left alone, if it says so and that can be read.
+    pub rest: Result<Option<Duration>, Malformed>,
 }
 
 /// Whether a request ran at a target.
@@ -195,6 +199,9 @@
     pub address: SocketAddr,
     /// The failure domain that it runs in.
     pub failure_domain: String,
+    /// Thousandths of a core that it may use.
+    #[serde(default)]
+    pub millicores: u32,
 }
 
 /// Who gives orders to the instances.
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -216,11 +216,12 @@
 /// kinds are known, the store is asked.
 fn reader<P: Platform>(shared: &Shared<P>) -> Option<(String, SocketAddr)> {
     let settings = shared.settings();
-    let reader = shared.peers.reader(shared.now(), &settings.failure_domain)?;
+    let rank = shared.rank(&settings);
+    let reader = shared.peers.reader(shared.now(), &settings.failure_domain, rank)?;
     let mirror = shared.mirror();
     let known = KINDS.iter().all(|it| mirror.revision(*it).is_some());
     drop(mirror);
-    if !known || reader >= settings.instance {
+    if !known {
         return None;
     }
     let address = shared.knowledge().entries.get(&*reader).map(|it| it.address)?;
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -15,7 +15,7 @@
 use crate::body::Answer;
 use crate::journal::Event;
 use crate::place::Place;
-use crate::port::{Envelope, Head, Outgoing, Platform};
+use crate::port::{Envelope, Head, Malformed, Outgoing, Platform};
 use crate::refusal::{Denial, Refusal};
 use crate::state::Shared;
 
@@ -187,6 +187,25 @@
         });
     }
 
+    /// Heeds what the target says of itself in its answer: that it leaves, or wants nothing more
+    /// for a while.
+    pub(crate) fn heed(&self, place: &Place<P>, answer: &crate::port::Answer) {
+        let shared = &self.shared;
+        let target = &*place.target.id;
+        for malformed in [answer.leaving.as_ref().err(), answer.rest.as_ref().err()] {
+            let Some(Malformed { what, reason }) = malformed else { continue };
+            shared.journal.note(&Event::Unheeded { target, what, reason });
+        }
+        if answer.leaving == Ok(true) {
+            shared.leaves(target, place.target.life.0);
+        }
+        if let Ok(Some(rest)) = answer.rest {
+            let until = shared.now() + rest;
+            shared.balance().rest(place.key, until);
+            shared.journal.note(&Event::Resting { target, rest_ms: millis(rest) });
+        }
+    }
+
     /// Notes that an attempt failed.
     pub(crate) fn failed(&self, place: &Place<P>, reason: &str, ran: &str) {
         self.shared.journal.note(&Event::Failed {
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -23,6 +23,9 @@
     /// Whether the whole system starts for the first time.
     #[serde(default)]
     pub first_start: bool,
+    /// Cores that it may use, fractions too. Entries with more of them take on work for others.
+    #[serde(default = "one")]
+    pub cores: f64,
     /// Bounds that the operators state.
     #[serde(default)]
     pub bounds: Bounds,
@@ -88,6 +91,10 @@
     }
 }
 
+fn one() -> f64 {
+    1.0
+}
+
 impl Settings {
     /// Reads and checks the file at `path`.
     ///
@@ -104,6 +111,12 @@
         Ok(settings)
     }
 
+    /// Thousandths of a core that it may use.
+    pub fn millicores(&self) -> u32 {
+        // What is no whole number of them makes no difference.
+        (self.cores * 1_000.0) as u32
+    }
+
     fn check(&self) -> Result<(), Error> {
         let bounds = &self.bounds;
         let positive = [
@@ -113,6 +126,7 @@
             ("bounds.revoke_ms", bounds.revoke_ms as f64),
             ("bounds.grace_s", bounds.grace_s),
             ("bounds.retry_window_s", bounds.retry_window_s),
+            ("cores", self.cores),
         ];
         for (field, value) in positive {
             if !value.is_finite() || value <= 0.0 {
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use decision::gateway::balance::{self, Balance, Target};
 use decision::gateway::budget::{self, Budget};
+use decision::gateway::exchange::{self, Rank};
 use decision::gateway::fleet::{self, Fleet};
 use decision::gateway::route::Table;
 use decision::prelude::*;
@@ -16,7 +17,7 @@
 use crate::journal::{Event, Journal};
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
-use crate::peers::Peers;
+use crate::peers::{Neighbor, Peers};
 use crate::pool::{self, Pool};
 use crate::port::Entry;
 use crate::settings::Settings;
@@ -167,6 +168,38 @@
         since.is_some_and(|it| self.now().since(it) >= fleet::DEPARTED)
     }
 
+    /// Whether there are so many entries that hubs stand between them.
+    pub(crate) fn has_hubs(&self) -> bool {
+        exchange::Settings::default().has_hubs(self.knowledge().entries.len())
+    }
+
+    /// The rank of this entry among those that take on work for others.
+    pub(crate) fn rank<'a>(&self, settings: &'a Settings) -> Rank<'a> {
+        Rank::new(&settings.instance, settings.millicores())
+    }
+
+    /// The other entries that the store lists.
+    pub(crate) fn neighbors(&self) -> Vec<Neighbor> {
+        let own = &self.settings().instance;
+        let knowledge = self.knowledge();
+        let others = knowledge.entries.iter().filter(|(name, _)| ***name != **own);
+        let neighbor = |(name, entry): (&Arc<str>, &Entry)| Neighbor {
+            name: name.to_string(),
+            address: entry.address,
+            failure_domain: entry.failure_domain.clone(),
+            millicores: entry.millicores,
+        };
+        others.map(neighbor).collect()
+    }
+
+    /// Notes that an instance leaves, by its own word.
+    pub(crate) fn leaves(&self, target: &str, born: u64) {
+        if self.knowledge().fleet.leaves(self.now(), target, born) {
+            self.journal.note(&Event::Leaving { target });
+            self.refresh();
+        }
+    }
+
     /// Counts a caller's request to `service`.
     pub(crate) fn count_request(&self, service: &Arc<str>) {
         let now = self.now();
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -376,6 +376,7 @@
     };
     let (head, body) = response.into_parts();
     let answer = job.shared.platform.answer(&head);
+    job.heed(place, &answer);
     if answer.id.as_ref().is_some_and(|it| *it != job.head.id) {
         return Err((Failure::Unknown("answer to another request"), End::Failed));
     }
