Bring the targets up to date when the owner is the first to see that entries lapsed

What callers saw: after an outage of the store, requests went on to a target whose entry had not come back in time, until the list changed again (DRAIN).

Cause: what lapsed after an outage is dropped by whoever looks first. Upkeep brought the targets up to date after that, the owner's plan did not, and upkeep found nothing left to drop.

Evidence: entries_that_lapsed_in_an_outage_may_come_back_although_a_peer_tells_of_it_first failed once starting took 0.5 s longer, which moved the owner's plan before the upkeep; the log showed one instance less, and requests still reached it. Ruled out: an older list (nothing outdated was told).

Change: one function drops what lapsed and brings the targets up to date.

--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -222,11 +222,7 @@
     let mut told = Counts::new();
     loop {
         sleep(UPKEEP).await;
-        let now = shared.now();
-        let lapsed = shared.knowledge().fleet.expire(now);
-        if lapsed {
-            shared.refresh();
-        }
+        shared.expire();
         shared.report(&mut told);
         let addresses: std::collections::HashSet<SocketAddr> =
             shared.knowledge().fleet.iter().map(|it| it.address).collect();
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -298,9 +298,9 @@
     fn plan(&mut self, now: Time) {
         let Some(fence) = self.fence else { return };
         self.probe_suspects(now);
+        self.shared.expire();
         let (table, instances) = {
-            let mut knowledge = self.shared.knowledge();
-            knowledge.fleet.expire(now);
+            let knowledge = self.shared.knowledge();
             let instances: Vec<(Arc<Instance>, Presence)> = knowledge.fleet.survey(now).collect();
             (knowledge.table.clone(), instances)
         };
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -178,6 +178,15 @@
         Rank::new(&settings.instance, settings.millicores())
     }
 
+    /// Whether this entry is the first or the second of its failure domain, as the store lists them.
+    pub(crate) fn is_first(&self) -> bool {
+        let settings = self.settings();
+        let own = self.rank(&settings);
+        let near = self.neighbors();
+        let near = near.iter().filter(|it| it.failure_domain == settings.failure_domain);
+        near.filter(|it| Rank::new(&it.name, it.millicores) < own).count() < 2
+    }
+
     /// The other entries that the store lists.
     pub(crate) fn neighbors(&self) -> Vec<Neighbor> {
         let own = &self.settings().instance;
@@ -266,6 +275,14 @@
         self.changed.notify_waiters();
     }
 
+    /// Drops the instances that did not come back in time after an outage.
+    pub(crate) fn expire(&self) {
+        let lapsed = self.knowledge().fleet.expire(self.now());
+        if lapsed {
+            self.refresh();
+        }
+    }
+
     /// Tells how many targets each service and model has, if that has changed.
     pub(crate) fn report(&self, told: &mut Counts) {
         let counts = self.count();
