Let one entry read the store for all failure domains of a large fleet

Cause: each entry listed and watched all kinds until it knew a reader of its failure domain, about 15 calls, most of them answers of watches that other entries' starts woke; five readers watched the same list every 150 ms.

Change, where hubs stand between entries: the strongest entry reads the store, the hubs of the other failure domains ask it, and all others ask their hub. Ages add up along the way and are checked at each step, so that an entry that hears too late reads the store itself. An entry that starts reads what tells who reads (configuration, entries), and waits up to 1.5 s for that peer before it reads the rest; who starts with the whole fleet for the first time waits 0.5 s until all are listed. Entries are told who lives at their first word. Ruled out: slower watches of instances (DRAIN and healing wait for them).

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -32,9 +32,15 @@
 /// Pause between two answers of a watch of instances, so that changes are gathered.
 const INSTANCES_PACE: Duration = Duration::from_millis(150);
 
+/// The same of entries, many of which may start at the same time.
+const ENTRIES_PACE: Duration = Duration::from_millis(200);
+
 /// Pause between two answers of the other watches.
 const PACE: Duration = Duration::from_millis(20);
 
+/// Time that entries which start together for the first time have to list themselves.
+const GATHER: Duration = Duration::from_millis(500);
+
 /// Time that entries which lapsed while the store was away have to come back.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_500);
 
@@ -62,6 +68,8 @@
 /// Whom this entry asks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Source {
+    /// Nobody yet: who reads the store for others is not known. What tells that is read at once.
+    Unknown,
     /// The store.
     Store,
     /// A peer that reads the store.
@@ -85,7 +93,11 @@
 pub(crate) async fn run<P: Platform>(shared: Arc<Shared<P>>) {
     // Nothing is lost before the first call has failed.
     let (up, reachable) = watch::channel(true);
-    let (source, sources) = watch::channel(Source::Store);
+    let (source, sources) = watch::channel(Source::Unknown);
+    if shared.settings().first_start {
+        // Entries that start together find each other first.
+        sleep(GATHER).await;
+    }
     let follow = |kind| Follower {
         shared: shared.clone(),
         kind,
@@ -122,7 +134,7 @@
         let mut source = self.source.clone();
         loop {
             // The sender lives as long as this follower.
-            drop(source.wait_for(|it| *it == Source::Store).await);
+            drop(source.wait_for(|it| self.is_due(*it)).await);
             let relayed = tokio::select! {
                 biased;
                 peer = source.wait_for(|it| *it == Source::Peer) => peer.is_ok(),
@@ -134,6 +146,15 @@
         }
     }
 
+    /// Whether this kind is read from the store, given whom this entry asks.
+    fn is_due(&self, source: Source) -> bool {
+        match source {
+            Source::Store => true,
+            Source::Unknown => matches!(self.kind, Kind::Config | Kind::Entries),
+            Source::Peer => false,
+        }
+    }
+
     /// Follows the store until its history is gone.
     async fn follow(&mut self, role: &mut Role) {
         let known = self.shared.mirror().revision(self.kind);
@@ -144,10 +165,13 @@
                 Err(error) => return self.fail(role, &error).await,
             },
         };
+        let mut wait = SHORT_WAIT;
         if known.is_none() {
             self.succeed(role);
+            wait = self.wait();
+            // Who reads the store for others is about to be known.
+            drop(self.source.wait_for(|it| *it != Source::Unknown).await);
         }
-        let mut wait = SHORT_WAIT;
         loop {
             let asked = self.shared.now();
             let changes = match role {
@@ -192,6 +216,9 @@
 
     fn wait(&self) -> Duration {
         match self.kind {
+            Kind::Config if self.shared.has_hubs() => {
+                self.shared.settings().bounds.config_wait_of_all()
+            }
             Kind::Config => self.shared.settings().bounds.config_wait(),
             _ => LONG_WAIT,
         }
@@ -200,6 +227,7 @@
     fn pace(&self) -> Duration {
         match self.kind {
             Kind::Instances => INSTANCES_PACE,
+            Kind::Entries => ENTRIES_PACE,
             _ => PACE,
         }
     }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -97,6 +97,8 @@
 struct Asker {
     asked: Time,
     address: SocketAddr,
+    /// Whether it was told who lives.
+    met: bool,
 }
 
 impl Peers {
@@ -153,14 +155,13 @@
     /// The first living peer of a failure domain that reaches the store, and of which nothing else
     /// is known lately, if it comes before `own`.
     pub(crate) fn reader(&self, now: Time, failure_domain: &str, own: Rank<'_>) -> Option<String> {
-        let state = self.state();
-        let readers = state.alive(now).filter(|it| {
-            let doubted = state.doubted.get(&it.who.name).is_some_and(|until| now < *until);
-            let reads = it.who.store && !it.who.leaving && !doubted;
-            reads && it.failure_domain == failure_domain
-        });
-        let first = readers.map(|it| it.who.rank()).min().filter(|it| *it < own);
-        first.map(|it| it.name().to_owned())
+        self.state().reader(now, own, |it| it.failure_domain == failure_domain)
+    }
+
+    /// The first living peer of all that reaches the store, and of which nothing else is known
+    /// lately, if it comes before `own`.
+    pub(crate) fn reader_of_all(&self, now: Time, own: Rank<'_>) -> Option<String> {
+        self.state().reader(now, own, |_| true)
     }
 
     /// Notes that a peer could not tell what the store says, until `until`.
@@ -191,6 +192,15 @@
         self.peers.values().filter(move |it| it.is_alive(now))
     }
 
+    fn reader(&self, now: Time, own: Rank<'_>, fits: impl Fn(&Peer) -> bool) -> Option<String> {
+        let readers = self.alive(now).filter(|it| {
+            let doubted = self.doubted.get(&it.who.name).is_some_and(|until| now < *until);
+            it.who.store && !it.who.leaving && !doubted && fits(it)
+        });
+        let first = readers.map(|it| it.who.rank()).min().filter(|it| *it < own);
+        first.map(|it| it.name().to_owned())
+    }
+
     fn domains(&self, now: Time) -> impl Iterator<Item = &Domain> {
         self.domains.values().filter(move |it| now.since(it.heard) < ALIVE_TOLD)
     }
--- a/gateway/src/peers/hear.rs
+++ b/gateway/src/peers/hear.rs
@@ -99,7 +99,11 @@
     let asked = shared.now();
     let mut state = shared.peers.state();
     match asks && (state.askers.len() < MAX_PEERS || state.askers.contains_key(name)) {
-        true => drop(state.askers.insert(name.to_owned(), Asker { asked, address })),
+        true => {
+            let asker = Asker { asked, address, met: false };
+            let asker = state.askers.entry(name.to_owned()).or_insert(asker);
+            *asker = Asker { asked, address, ..*asker };
+        }
         false => drop(state.askers.remove(name)),
     }
 }
--- a/gateway/src/peers/tell.rs
+++ b/gateway/src/peers/tell.rs
@@ -13,7 +13,7 @@
 
 use super::hear::HUB;
 use super::word::{Loads, MAX_NAMED, Message, News, Rest, Roll, Sum, VERSION, Who, Word};
-use super::{ALIVE, State};
+use super::{ALIVE, Asker, State};
 use crate::port::Platform;
 use crate::state::Shared;
 
@@ -33,7 +33,8 @@
 /// Rounds of a hub after one of which it tells who lives.
 const ROLL: usize = 3;
 
-/// Entries of a failure domain that other ones hear of, as they come first to own the replicas.
+/// Entries of a failure domain that other ones hear of beside its hub, as they come first to own
+/// the replicas.
 const FIRST: usize = 2;
 
 /// Suspects that are told.
@@ -94,8 +95,10 @@
         let settings = self.shared.settings();
         let mut state = self.shared.peers.state();
         state.askers.retain(|_, it| now.since(it.asked) < ALIVE);
-        let askers: Vec<(String, SocketAddr)> =
-            state.askers.iter().map(|(name, it)| (name.clone(), it.address)).collect();
+        let met = |it: &mut Asker| std::mem::replace(&mut it.met, true);
+        let askers = state.askers.iter_mut();
+        let askers: Vec<(String, Asker)> =
+            askers.map(|(name, it)| (name.clone(), Asker { met: met(it), ..*it })).collect();
         if askers.is_empty() && !leads {
             return;
         }
@@ -106,7 +109,8 @@
         let news = state.news(now, own);
         let near_news = state.near_news(now, &settings.failure_domain, own);
         let first = state.first(now, &settings.failure_domain, own);
-        let roll = (self.hub_round % ROLL == 1).then(|| state.roll(now, own, &settings));
+        let roll = state.roll(now, own, &settings);
+        let all_meet = self.hub_round.is_multiple_of(ROLL);
         let alive = state.alive(now).filter(|it| it.failure_domain == settings.failure_domain);
         let alive = u32::try_from(alive.count() + 1).unwrap_or(u32::MAX);
         let of_askers: Vec<HashMap<u32, Load>> = askers
@@ -115,13 +119,13 @@
             .collect();
         drop(state);
         let from = own.who.name.clone();
-        for ((_, address), theirs) in askers.iter().zip(&of_askers) {
+        for ((_, asker), theirs) in askers.iter().zip(&of_askers) {
             for loads in Loads::parts(&without(&all, theirs)) {
                 let rest = Rest { from: from.clone(), news: news.clone(), loads };
-                self.send(&Message::Rest(rest), *address);
+                self.send(&Message::Rest(rest), asker.address);
             }
-            for roll in roll.iter().flatten() {
-                self.send(&Message::Roll(roll.clone()), *address);
+            for roll in roll.iter().filter(|_| all_meet || !asker.met) {
+                self.send(&Message::Roll(roll.clone()), asker.address);
             }
         }
         let rest = without(&all, &own.loads);
@@ -285,6 +289,8 @@
         near.retain(|it| it.store && !it.leaving);
         near.sort_by(|a, b| a.candidate().rank().cmp(&b.candidate().rank()));
         near.truncate(FIRST);
+        // A hub is asked what the store says, too.
+        near.push(own.who.clone());
         near
     }
 
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -33,6 +33,12 @@
 /// Pause between two looks whether a peer reads the store.
 const LOOK: Duration = Duration::from_millis(100);
 
+/// The same right after the start.
+const LOOK_EARLY: Duration = Duration::from_millis(10);
+
+/// Time that an entry which starts has to meet the one that reads the store for it.
+const MEET: Duration = Duration::from_millis(1_500);
+
 /// Path of questions.
 const PATH: &str = "/changes";
 
@@ -187,13 +193,18 @@
 /// Asks the peer that reads the store for this failure domain, and says whether the store has to
 /// be asked instead.
 pub(crate) async fn follow<P: Platform>(shared: Arc<Shared<P>>, source: watch::Sender<Source>) {
+    let started = shared.now();
     loop {
-        let Some((name, reader)) = reader(&shared) else {
+        let Some((name, reader, wait)) = reader(&shared) else {
+            if *source.borrow() == Source::Unknown && is_early(&shared, started) {
+                sleep(LOOK_EARLY).await;
+                continue;
+            }
             source.send_if_modified(|it| std::mem::replace(it, Source::Store) != Source::Store);
             sleep(LOOK).await;
             continue;
         };
-        let told = tell(&shared, reader).await;
+        let told = tell(&shared, reader, wait).await;
         match told {
             Ok(()) => {
                 shared.store_up.store(true, Ordering::Relaxed);
@@ -212,31 +223,50 @@
     }
 }
 
-/// The peer that reads the store for this failure domain, if it isn't this entry. Before all
-/// kinds are known, the store is asked.
-fn reader<P: Platform>(shared: &Shared<P>) -> Option<(String, SocketAddr)> {
+/// The peer that reads the store for this failure domain, or for all of them, if it isn't this
+/// entry, and how long a question to it waits. Before all kinds are known, the store is asked where
+/// entries are few.
+fn reader<P: Platform>(shared: &Shared<P>) -> Option<(String, SocketAddr, Duration)> {
     let settings = shared.settings();
-    let rank = shared.rank(&settings);
-    let reader = shared.peers.reader(shared.now(), &settings.failure_domain, rank)?;
+    let (now, rank) = (shared.now(), shared.rank(&settings));
+    let near = shared.peers.reader(now, &settings.failure_domain, rank);
+    let (reader, wait) = match near {
+        Some(near) => (near, settings.bounds.relay_wait()),
+        None if shared.has_hubs() => {
+            (shared.peers.reader_of_all(now, rank)?, settings.bounds.far_wait())
+        }
+        None => return None,
+    };
     let mirror = shared.mirror();
     let known = KINDS.iter().all(|it| mirror.revision(*it).is_some());
     drop(mirror);
-    if !known {
+    if !known && !shared.has_hubs() {
         return None;
     }
     let address = shared.knowledge().entries.get(&*reader).map(|it| it.address)?;
-    Some((reader, address))
+    Some((reader, address, wait))
+}
+
+/// Whether it is too early to read the store where it is not known yet who does so for others.
+fn is_early<P: Platform>(shared: &Shared<P>, started: Time) -> bool {
+    let waits = shared.now().since(started) < MEET;
+    let known = shared.mirror().revision(Kind::Entries).is_some();
+    waits && (!known || (shared.has_hubs() && !shared.is_first()))
 }
 
 /// Asks `reader` once and takes what it tells.
-async fn tell<P: Platform>(shared: &Shared<P>, reader: SocketAddr) -> Result<(), Error> {
+async fn tell<P: Platform>(
+    shared: &Shared<P>,
+    reader: SocketAddr,
+    wait: Duration,
+) -> Result<(), Error> {
     let bounds = shared.settings().bounds;
     let asked = shared.now();
     let since = {
         let mirror = shared.mirror();
         KINDS.map(|kind| (kind, mirror.revision(kind))).to_vec()
     };
-    let question = Question { since, wait_ms: millis(bounds.relay_wait()) };
+    let question = Question { since, wait_ms: millis(wait) };
     let answer = ask(shared, reader, &question).await?;
     let age = Duration::from_millis(u64::from(answer.age_ms));
     if age > bounds.relay_age() {
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -158,6 +158,17 @@
         Duration::from_millis(self.config_ms) * 2 / 5
     }
 
+    /// The same where one entry reads the store for all failure domains, so that what it tells
+    /// passes through two others.
+    pub fn config_wait_of_all(&self) -> Duration {
+        Duration::from_millis(self.config_ms) / 5
+    }
+
+    /// Time for which a question to the reader of all failure domains waits.
+    pub fn far_wait(&self) -> Duration {
+        Duration::from_millis(self.config_ms) / 8
+    }
+
     /// Time for which a question to a peer waits.
     pub fn relay_wait(&self) -> Duration {
         Duration::from_millis(self.config_ms) / 4
