Ask members of suspect replicas less often, and judge silence only by an entry that listened

Cause: while any entry suspects a replica, the owner asked all its members each 0.4 s, also when they had answered, and also when it knew already that one was gone and ended the replica. And an entry that was busy judged a target by the time at which it should have listened, not by that at which it did.

Change: answers double the pause up to 1.6 s, replicas that end are left alone, and an entry that wakes late listens on for as long as it was late, once, before it calls a target silent.

Test: members_of_a_replica_that_ends_are_not_asked_whether_they_live; the shell's part of the change has none.

--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -276,6 +276,13 @@
         self.departed.iter().map(|id| (id.clone(), doubt(id))).collect()
     }
 
+    /// Whether `head` leads a replica that is taken for whole, so that it matters whether all its
+    /// members live.
+    pub fn is_whole(&self, head: &str) -> bool {
+        let mut whole = self.groups.values().filter(|it| it.stage == Stage::Whole);
+        whole.any(|it| *it.members[0] == *head)
+    }
+
     /// Whether the instance is known not to be reachable.
     pub fn is_dead(&self, now: Time, instance: &Instance) -> bool {
         let dead = self.dead.get(&instance.id);
--- a/decision/tests/gateway/formation.rs
+++ b/decision/tests/gateway/formation.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use decision::gateway::fleet::{Instance, Presence};
+use decision::gateway::fleet::{Instance, Member, Presence, State};
 use decision::gateway::formation::{Formation, Settings};
 use proptest::prelude::*;
 use rstest::rstest;
@@ -302,3 +302,26 @@
     assert_eq!(plan(false), 6);
     assert_eq!(plan(true), 0);
 }
+
+#[test]
+fn members_of_a_replica_that_ends_are_not_asked_whether_they_live() {
+    let member = |rank: u32| Instance {
+        model: Some("small".into()),
+        staged: vec!["small".into()],
+        member: Some(Member {
+            group: "r1".into(),
+            epoch: 1,
+            rank,
+            state: if rank == 0 { State::Open } else { State::Ready },
+        }),
+        ..instance(&format!("i{rank}"), "f0")
+    };
+    let instances = [member(0), member(1), member(2)];
+    let known = || instances.iter().map(|it| (it, Presence::Listed));
+    let mut formation = Formation::new(1, Settings::default());
+    formation.plan(at(0), &engine(), known());
+    assert!(formation.is_whole("i0"));
+    formation.lost(at(100), &instances[2].id, 1);
+    formation.plan(at(100), &engine(), known());
+    assert!(!formation.is_whole("i0"));
+}
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -33,7 +33,7 @@
 const INSTANCES_PACE: Duration = Duration::from_millis(150);
 
 /// The same of entries, many of which may start at the same time.
-const ENTRIES_PACE: Duration = Duration::from_millis(200);
+const ENTRIES_PACE: Duration = Duration::from_millis(50);
 
 /// Pause between two answers of the other watches.
 const PACE: Duration = Duration::from_millis(20);
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -37,9 +37,13 @@
 /// Longest time for a question whether an instance lives.
 const PROBE: Duration = Duration::from_millis(180);
 
-/// Pause between two questions to one instance.
+/// Pause between two questions to one instance. Doubles with each answer to the limit.
 const PROBE_PAUSE: Duration = Duration::from_millis(400);
 
+/// Longest pause between two questions to a member of a replica that entries suspect again and
+/// again though all its members answer.
+const PROBE_LIMIT: Duration = Duration::from_millis(1_600);
+
 /// The same, for an instance whose replica forms.
 const FORMING_PAUSE: Duration = Duration::from_millis(100);
 
@@ -105,6 +109,8 @@
 struct Probe {
     at: Time,
     misses: u32,
+    /// Answers in a row.
+    answers: u32,
 }
 
 /// Takes part in the ownership until the process ends.
@@ -355,7 +361,7 @@
         }
     }
 
-    /// Asks the members of suspect replicas whether they live.
+    /// Asks the members of suspect replicas whether they live. What ends already is left alone.
     fn probe_suspects(&mut self, now: Time) {
         let mut tags = self.shared.peers.suspects(now);
         let balance = self.shared.balance();
@@ -363,13 +369,16 @@
         let suspects: Vec<Vec<Arc<str>>> = balance
             .targets()
             .filter(|(it, _)| it.model.is_some() && tags.contains(&tag(&it.id)))
+            .filter(|(it, _)| self.formations.values().any(|formation| formation.is_whole(&it.id)))
             .map(|(it, _)| it.members.clone())
             .collect();
         drop(balance);
         for id in suspects.into_iter().flatten() {
-            self.ask(now, id, PROBE_PAUSE);
+            let answers = self.probes.get(&id).map_or(0, |it| it.answers);
+            let factor = 1 << answers.saturating_sub(1).min(8);
+            self.ask(now, id, (PROBE_PAUSE * factor).min(PROBE_LIMIT));
         }
-        self.probes.retain(|_, it| now.since(it.at) < PROBE_PAUSE * 5);
+        self.probes.retain(|_, it| now.since(it.at) < PROBE_LIMIT + PROBE_PAUSE);
     }
 
     fn probe(&self, id: Arc<str>) {
@@ -449,6 +458,7 @@
     fn probed(&mut self, now: Time, id: &Arc<str>, born: u64, alive: bool) {
         let probe = self.probes.entry(id.clone()).or_default();
         probe.misses = if alive { 0 } else { probe.misses + 1 };
+        probe.answers = if alive { probe.answers + 1 } else { 0 };
         let lost = probe.misses >= MISSES;
         for formation in self.formations.values_mut() {
             match (alive, lost) {
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -195,8 +195,9 @@
 ) -> Result<(), &'static str> {
     let shared = job.shared.clone();
     let mut heard = shared.now();
+    let mut late = Time::ZERO;
     loop {
-        let wake = wake(job, &open.place, heard);
+        let wake = wake(job, &open.place, heard).max(late);
         let frame = tokio::select! {
             biased;
             frame = open.body.frame() => frame,
@@ -205,6 +206,10 @@
                 if now >= job.deadline {
                     return Err("deadline");
                 }
+                if let Some(until) = listens_late(now, wake).filter(|_| late <= heard) {
+                    late = until;
+                    continue;
+                }
                 if job.route.is_idempotent() && is_silent(job, &open.place, heard) {
                     return Err("silent");
                 }
@@ -258,6 +263,19 @@
 /// Pause between two looks at a target that is nearly silent for too long.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// Until when an entry listens on that was to wake at `wake` and did so only now: it was busy, and
+/// what came meanwhile may not have been read yet.
+fn listens_late(now: Time, wake: Time) -> Option<Time> {
+    let late = now.since(wake);
+    (late > LATE).then(|| now + late.min(LATE_LIMIT))
+}
+
+/// Time by which a timer may be late on an entry that isn't busy.
+const LATE: Duration = Duration::from_millis(5);
+
+/// Longest time for which an entry that was busy listens on.
+const LATE_LIMIT: Duration = Duration::from_millis(100);
+
 fn is_silent<P: Platform>(job: &Job<P>, place: &Place<P>, heard: Time) -> bool {
     let now = job.shared.now();
     let silent = job.shared.balance().check_silence(now, place.key);
@@ -324,8 +342,9 @@
         let exchange = exchange(job, &place, request);
         tokio::pin!(exchange);
         let begun = job.shared.now();
+        let mut late = Time::ZERO;
         loop {
-            let wake = wake(job, &place, begun);
+            let wake = wake(job, &place, begun).max(late);
             tokio::select! {
                 biased;
                 result = &mut exchange => break result,
@@ -333,6 +352,11 @@
                     if job.shared.now() >= job.deadline {
                         break Err((Failure::Unknown("no answer in time"), End::Failed));
                     }
+                    let listens = listens_late(job.shared.now(), wake);
+                    if let Some(until) = listens.filter(|_| late <= begun) {
+                        late = until;
+                        continue;
+                    }
                     if job.route.is_idempotent() && job.may_repeat()
                         && is_silent_waiting(job, &place)
                     {
