--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -3,18 +3,20 @@
 //! Peers see by datagrams whether the holder of the [`lease`] lives, and instances refuse the
 //! orders of an earlier holder.
 
+mod probe;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use decision::gateway::balance::tag;
 use decision::gateway::candidate::{self, Candidate};
 use decision::gateway::fleet::{Instance, Presence};
-use decision::gateway::formation::{self, Action, Doubt, Formation, Order, Taken};
+use decision::gateway::formation::{self, Action, Formation, Order, Taken};
 use decision::prelude::*;
 use http::StatusCode;
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::{sleep, timeout};
 
+use self::probe::Probe;
 use crate::follow;
 use crate::journal::Event;
 use crate::lease;
@@ -34,22 +36,6 @@
 /// Time for which an entry takes no lease that could not list the instances.
 const UNLISTED: Duration = Duration::from_secs(4);
 
-/// Longest time for a question whether an instance lives.
-const PROBE: Duration = Duration::from_millis(180);
-
-/// Pause between two questions to one instance. Doubles with each answer to the limit.
-const PROBE_PAUSE: Duration = Duration::from_millis(400);
-
-/// Longest pause between two questions to a member of a replica that entries suspect again and
-/// again though all its members answer.
-const PROBE_LIMIT: Duration = Duration::from_millis(1_600);
-
-/// The same, for an instance whose replica forms.
-const FORMING_PAUSE: Duration = Duration::from_millis(100);
-
-/// The same, for an instance that no replica depends on.
-const SPARE_PAUSE: Duration = Duration::from_millis(1_300);
-
 /// Orders that are given at the same time. What waits longer behind them is the word by which
 /// peers know that the owner lives.
 const ORDERS: usize = 96;
@@ -57,15 +43,9 @@
 /// Part of its time that an owner may spend on plans: one in so many.
 const PLAN_PART: u32 = 4;
 
-/// Questions without an answer after which an instance counts as lost.
-const MISSES: u32 = 2;
-
 /// Pause after which the lease is read again that could not be read.
 const LEASE_PAUSE: Duration = Duration::from_millis(200);
 
-/// Longest answer of an instance, in bytes.
-const MAX_ANSWER: usize = 1 << 20;
-
 /// What came of a call to an instance.
 enum Result {
     Order { id: Arc<str>, born: u64, order: Order, outcome: Outcome },
@@ -105,14 +85,6 @@
     results: mpsc::Sender<Result>,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Probe {
-    at: Time,
-    misses: u32,
-    /// Answers in a row.
-    answers: u32,
-}
-
 /// Takes part in the ownership until the process ends.
 pub(crate) async fn run<P: Platform>(shared: Arc<Shared<P>>, life: u64) {
     let (results, mut receiver) = mpsc::channel(1_024);
@@ -335,14 +307,7 @@
         if self.formations.values().any(Formation::waits_for_lease) {
             self.confirm(now, fence);
         }
-        for (id, doubt) in doubtful {
-            let pause = match doubt {
-                Doubt::Forming => FORMING_PAUSE,
-                Doubt::Member => PROBE_PAUSE,
-                Doubt::Spare => SPARE_PAUSE,
-            };
-            self.ask(now, id, pause);
-        }
+        self.ask_doubtful(now, doubtful);
     }
 
     /// Whether the list shows that there is a later owner. One that was paused may read that before
@@ -352,54 +317,6 @@
         instances.iter().any(|(it, _)| formations().any(|formation| formation.is_superseded(it)))
     }
 
-    /// Asks an instance whether it lives, unless it was asked a moment ago.
-    fn ask(&mut self, now: Time, id: Arc<str>, pause: Duration) {
-        let probe = self.probes.entry(id.clone()).or_default();
-        if now.since(probe.at) >= pause || probe.at == Time::ZERO {
-            probe.at = now;
-            self.probe(id);
-        }
-    }
-
-    /// Asks the members of suspect replicas whether they live. What ends already is left alone.
-    fn probe_suspects(&mut self, now: Time) {
-        let mut tags = self.shared.peers.suspects(now);
-        let balance = self.shared.balance();
-        tags.extend(balance.suspects().map(|it| tag(&it.id)));
-        let suspects: Vec<Vec<Arc<str>>> = balance
-            .targets()
-            .filter(|(it, _)| it.model.is_some() && tags.contains(&tag(&it.id)))
-            .filter(|(it, _)| self.formations.values().any(|formation| formation.is_whole(&it.id)))
-            .map(|(it, _)| it.members.clone())
-            .collect();
-        drop(balance);
-        for id in suspects.into_iter().flatten() {
-            let answers = self.probes.get(&id).map_or(0, |it| it.answers);
-            let factor = 1 << answers.saturating_sub(1).min(8);
-            self.ask(now, id, (PROBE_PAUSE * factor).min(PROBE_LIMIT));
-        }
-        self.probes.retain(|_, it| now.since(it.at) < PROBE_LIMIT + PROBE_PAUSE);
-    }
-
-    fn probe(&self, id: Arc<str>) {
-        let Some(instance) = self.shared.knowledge().fleet.recall(&id).cloned() else { return };
-        let (shared, results) = (self.shared.clone(), self.results.clone());
-        tokio::spawn(async move {
-            let request = shared.platform.probe(instance.address);
-            let call = shared.targets.ask(instance.address, request, PROBE, MAX_ANSWER).await;
-            let report = call.ok().and_then(|it| shared.platform.report(it.body()).ok());
-            // Another instance may have its address by now.
-            let report = report.filter(|it| it.born == instance.born);
-            let alive = report.is_some();
-            if let Some(report) = report {
-                shared.knowledge().fleet.observe(&id, report);
-                shared.changed.notify_waiters();
-            }
-            // Without a receiver the process ends.
-            let _sent = results.send(Result::Probe { id, born: instance.born, alive }).await;
-        });
-    }
-
     /// Gives an order, unless it is waiting to be given.
     fn order(&mut self, fence: u64, action: Action) {
         if self.pending.get(&action.id) == Some(&action.order) {
@@ -441,7 +358,7 @@
                     }
                 }
                 if outcome == Outcome::Silent {
-                    self.ask(now, id, PROBE_PAUSE);
+                    self.ask_silent(now, id);
                 }
             }
         }
@@ -454,28 +371,6 @@
             self.give_up("an instance has seen a later owner");
         }
     }
-
-    fn probed(&mut self, now: Time, id: &Arc<str>, born: u64, alive: bool) {
-        let probe = self.probes.entry(id.clone()).or_default();
-        probe.misses = if alive { 0 } else { probe.misses + 1 };
-        probe.answers = if alive { probe.answers + 1 } else { 0 };
-        let lost = probe.misses >= MISSES;
-        for formation in self.formations.values_mut() {
-            match (alive, lost) {
-                (true, _) => formation.found(now, id, born),
-                (false, true) => formation.lost(now, id, born),
-                (false, false) => {}
-            }
-        }
-        if lost {
-            let reason = "no answer to questions";
-            self.shared.journal.note(&Event::Unreachable { instance: id, reason });
-        } else if !alive {
-            // Asked again at once: one lost answer must not end a replica.
-            self.probes.entry(id.clone()).or_default().at = now;
-            self.probe(id.clone());
-        }
-    }
 }
 
 /// Writes what has become of the replicas of a service.
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -5,6 +5,7 @@
 //! and hears from it (see [`decision::gateway::exchange`]).
 
 mod hear;
+mod hub;
 mod tell;
 mod word;
 
--- /dev/null
+++ b/gateway/src/peers/hub.rs
@@ -0,0 +1,208 @@
+//! What a hub adds up and tells.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use decision::gateway::balance::{Load, Part};
+use decision::gateway::exchange;
+use decision::prelude::*;
+
+use super::hear::HUB;
+use super::tell::{MAX_SUSPECTS, Neighbor, Own, Teller};
+use super::word::{Loads, MAX_NAMED, Message, News, Rest, Roll, Sum, Who};
+use super::{ALIVE, Asker, Peer, State};
+use crate::port::Platform;
+
+/// Rounds of a hub after one of which it tells who lives.
+const ROLL: usize = 3;
+
+/// Entries of a failure domain that other ones hear of beside its hub, as they come first to own
+/// the replicas.
+const FIRST: usize = 2;
+
+/// A peer that asked this entry to be its hub.
+struct Follower {
+    /// Whether it was told who lives.
+    met: bool,
+    address: SocketAddr,
+    loads: HashMap<u32, Load>,
+}
+
+impl<P: Platform> Teller<P> {
+    /// Tells those that ask this entry, and the other failure domains if it is their hub here.
+    pub(super) fn tell_as_hub(&mut self, entries: &[Neighbor], own: &Own, leads: bool) {
+        let now = self.shared.now();
+        let followers = self.shared.peers.state().followers(now);
+        if followers.is_empty() && !leads {
+            return;
+        }
+        self.next = now + exchange::Settings::default().pause(followers.len());
+        self.hub_round += 1;
+        self.tell_followers(now, &followers, own);
+        if leads {
+            self.tell_domains(now, entries, own);
+        }
+    }
+
+    fn tell_followers(&self, now: Time, followers: &[Follower], own: &Own) {
+        let domain = &self.shared.settings().failure_domain;
+        let state = self.shared.peers.state();
+        let all = state.all(now, domain, own);
+        let news = state.news(now, own);
+        let roll = state.roll(now, domain, own);
+        drop(state);
+        let all_meet = self.hub_round.is_multiple_of(ROLL);
+        for follower in followers {
+            for loads in Loads::parts(&without(&all, &follower.loads)) {
+                let rest = Rest { from: own.who.name.clone(), news: news.clone(), loads };
+                self.send(&Message::Rest(rest), follower.address);
+            }
+            for part in roll.iter().filter(|_| all_meet || !follower.met) {
+                self.send(&Message::Roll(part.clone()), follower.address);
+            }
+        }
+        let rest = without(&all, &own.loads);
+        self.shared.balance().hear_peer(now, HUB, Part::default(), &rest);
+    }
+
+    /// Tells the hubs of the other failure domains.
+    fn tell_domains(&self, now: Time, entries: &[Neighbor], own: &Own) {
+        let domain = self.shared.settings().failure_domain.clone();
+        let hubs = self.far_hubs(entries, &domain);
+        let state = self.shared.peers.state();
+        let sum = Sum {
+            from: own.who.name.clone(),
+            failure_domain: domain.clone(),
+            alive: u32::try_from(state.near(now, &domain).count() + 1).unwrap_or(u32::MAX),
+            first: state.first(now, &domain, own),
+            news: state.near_news(now, &domain, own),
+            loads: Loads::default(),
+        };
+        let near = state.near_loads(now, &domain, own);
+        drop(state);
+        for loads in Loads::parts(&near) {
+            let message = Message::Sum(Sum { loads, ..sum.clone() });
+            hubs.iter().for_each(|it| self.send(&message, *it));
+        }
+    }
+
+    fn far_hubs(&self, entries: &[Neighbor], own: &str) -> Vec<SocketAddr> {
+        let mut domains: Vec<&str> = entries.iter().map(|it| &*it.failure_domain).collect();
+        domains.sort_unstable();
+        domains.dedup();
+        let far = domains.into_iter().filter(|it| *it != own);
+        let first = far.filter_map(|it| self.hubs(entries, it).into_iter().flatten().next());
+        first.map(|it| it.address).collect()
+    }
+}
+
+impl State {
+    /// The peers that ask this entry, which are told who lives from now on.
+    fn followers(&mut self, now: Time) -> Vec<Follower> {
+        self.askers.retain(|_, it| now.since(it.asked) < ALIVE);
+        let peers = &self.peers;
+        let follower = |(name, asker): (&String, &mut Asker)| Follower {
+            met: std::mem::replace(&mut asker.met, true),
+            address: asker.address,
+            loads: peers.get(name).map(|it| it.loads.clone()).unwrap_or_default(),
+        };
+        self.askers.iter_mut().map(follower).collect()
+    }
+
+    /// The living peers of this failure domain.
+    fn near<'a>(&'a self, now: Time, domain: &'a str) -> impl Iterator<Item = &'a Peer> {
+        self.alive(now).filter(move |it| it.failure_domain == domain)
+    }
+
+    /// What the entries of this failure domain have in progress together.
+    fn near_loads(&self, now: Time, domain: &str, own: &Own) -> HashMap<u32, Load> {
+        let mut sum = own.loads.clone();
+        let near = self.near(now, domain).filter(|it| it.direct);
+        near.for_each(|it| add(&mut sum, &it.loads, now.since(it.heard)));
+        sum
+    }
+
+    /// What all entries have in progress together.
+    fn all(&self, now: Time, domain: &str, own: &Own) -> HashMap<u32, Load> {
+        let mut sum = self.near_loads(now, domain, own);
+        self.domains(now).for_each(|it| add(&mut sum, &it.loads, now.since(it.heard)));
+        sum
+    }
+
+    /// What this failure domain tells the others.
+    fn near_news(&self, now: Time, domain: &str, own: &Own) -> News {
+        let owner = self.near(now, domain).filter_map(|it| it.who.owner).max();
+        let suspects = self.near(now, domain).flat_map(|it| it.news.suspects.iter().copied());
+        let suspects = few(own.news.suspects.iter().copied().chain(suspects));
+        News { owner: owner.max(own.who.owner), suspects, ..own.news.clone() }
+    }
+
+    /// What a hub tells those that ask it.
+    fn news(&self, now: Time, own: &Own) -> News {
+        let owner = self.owner_of_others(now).max(own.who.owner);
+        let suspects = own.news.suspects.iter().copied().chain(self.suspects_of_others(now));
+        News { owner, suspects: few(suspects), ..own.news.clone() }
+    }
+
+    /// The entries of this failure domain that come first to own the replicas, and its hub, which is
+    /// asked what the store says.
+    fn first(&self, now: Time, domain: &str, own: &Own) -> Vec<Who> {
+        let mut near: Vec<Who> = self.near(now, domain).map(|it| it.who.clone()).collect();
+        near.retain(|it| it.store && !it.leaving);
+        near.sort_by(|a, b| a.candidate().rank().cmp(&b.candidate().rank()));
+        near.truncate(FIRST);
+        near.push(own.who.clone());
+        near
+    }
+
+    /// Who lives, in as many parts as it takes.
+    fn roll(&self, now: Time, domain: &str, own: &Own) -> Vec<Roll> {
+        let near = self.near(now, domain).map(|it| it.who.clone());
+        let near: Vec<Who> = near.chain([own.who.clone()]).collect();
+        let far = self.alive(now).filter(|it| it.failure_domain != domain);
+        let far: Vec<(String, Who)> =
+            far.map(|it| (it.failure_domain.clone(), it.who.clone())).collect();
+        let far_alive: usize = self.domains(now).map(|it| it.alive).sum();
+        let far_alive = u32::try_from(far_alive).unwrap_or(u32::MAX);
+        let part = |near: &[Who], far: &[(String, Who)]| Roll {
+            from: own.who.name.clone(),
+            near: near.to_vec(),
+            far_alive,
+            far: far.to_vec(),
+        };
+        let near = near.chunks(MAX_NAMED).map(|it| part(it, &[]));
+        near.chain(far.chunks(MAX_NAMED).map(|it| part(&[], it))).collect()
+    }
+}
+
+/// Adds loads that were told `age` ago.
+fn add(sum: &mut HashMap<u32, Load>, loads: &HashMap<u32, Load>, age: Duration) {
+    let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+    for (target, load) in loads {
+        let all = sum.entry(*target).or_insert(Load { quiet_ms: u32::MAX, ..Load::default() });
+        all.running = all.running.saturating_add(load.running);
+        all.prefill = all.prefill.saturating_add(load.prefill);
+        all.quiet_ms = all.quiet_ms.min(load.quiet_ms.saturating_add(age_ms));
+    }
+}
+
+/// What others have in progress, given that of all and that of one.
+fn without(all: &HashMap<u32, Load>, one: &HashMap<u32, Load>) -> HashMap<u32, Load> {
+    let mut others = all.clone();
+    for (target, load) in one {
+        let Some(other) = others.get_mut(target) else { continue };
+        other.running = other.running.saturating_sub(load.running);
+        other.prefill = other.prefill.saturating_sub(load.prefill);
+    }
+    others.retain(|_, it| it.running > 0 || it.prefill > 0 || it.quiet_ms < u32::MAX);
+    others
+}
+
+/// Suspects, each once, and not too many.
+fn few(suspects: impl Iterator<Item = u32>) -> Vec<u32> {
+    let mut suspects: Vec<u32> = suspects.collect();
+    suspects.sort_unstable();
+    suspects.dedup();
+    suspects.truncate(MAX_SUSPECTS);
+    suspects
+}
