Wait for a silent replica when a stream has no attempt left

Cause: a stream whose replica is silent for longer than its load explains goes on elsewhere; when its attempts are spent there is no elsewhere, and the entry ended it. A replica's silence is no reason to end an answer sooner.

Change: a stream leaves a silent replica only if it may go on: attempts, sends and the budget of repeats allow it.

--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -94,6 +94,15 @@
         (self.tried.len() as u32) < attempts && self.sends < attempts + SENDS_MARGIN
     }
 
+    /// Whether a request that may be repeated can go on elsewhere, with the target that has it now
+    /// counted as tried.
+    pub(crate) fn may_go_on(&self) -> bool {
+        let attempts = self.route.attempts.max(1);
+        (self.tried.len() as u32) + 1 < attempts
+            && self.sends < attempts + SENDS_MARGIN
+            && self.shared.may_repeat(&self.service.name)
+    }
+
     /// Finds a target, waiting a little while all are busy.
     ///
     /// # Errors
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -210,9 +210,14 @@
                     late = until;
                     continue;
                 }
-                if job.route.is_idempotent() && is_silent(job, &open.place, heard) {
+                if !job.route.is_idempotent() || !is_silent(job, &open.place, heard) {
+                    continue;
+                }
+                if job.may_go_on() {
                     return Err("silent");
                 }
+                // Nobody else may have it: what is silent now may still go on.
+                late = now + ALONE;
                 continue;
             }
         };
