Count a replica that was left for its silence as one that may have run the request

Cause: a target that had not answered when it was left counted as not having run the request; it may have begun a moment before.

Change: it counts as an attempt, and the last attempt waits for its replica. Ruled out: waiting until the target is known to be dead, since nothing tells that before its caller leaves.

--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -317,11 +317,10 @@
             }
             Err(Failure::Answered(head, body)) => return Err(Stop::Answered(head, body)),
             Err(Failure::Silent) => {
+                // It may have begun a moment ago.
                 *ran = true;
                 job.avoid.push(key);
-                if !job.may_repeat() {
-                    return Err(Stop::Broken("silent"));
-                }
+                job.tried.push(key);
             }
             Err(Failure::Unknown(reason)) => {
                 *ran = true;
@@ -362,7 +361,7 @@
                         late = until;
                         continue;
                     }
-                    if job.route.is_idempotent() && job.may_repeat()
+                    if job.route.is_idempotent() && job.may_go_on()
                         && is_silent_waiting(job, &place)
                     {
                         break Err((Failure::Silent, End::Failed));
