Test each of an owner's two conditions for opening a replica

Cause: with one of them off, all tests stayed green, so that its removal would have gone unseen.

Two tests of the plan alone: a reading of the lease from before the members were ready opens nothing, and what an earlier owner formed is told to leave and is not opened. No code changed.

--- a/decision/tests/gateway/main.rs
+++ b/decision/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod fleet;
 mod formation;
+mod opening;
 mod owner;
 mod owners;
 mod premise;
