Release a refused payment's claim before its caller is told

A payment that one entry refused, "not run", and that was asked of the next entry at once, was answered "in progress": outcome unknown, for a request that nobody ran. The release of its claim went to the store in the background.

Evidence: the new test, two entries over one store that takes 20 ms a call, fails without the change with exactly that refusal.

The refusal now waits for the release, for 500 ms at most. A claim that the store did not grant, as far as the entry knows, is released in the background as before, so a store that is away holds no refusal up. Ruled out: telling the next entry by the peers' exchange, which may be as late.

Left: a keyed stream that is refused after it had a target tells its caller first.

--- a/rhubarblatchd/src/claims.rs
+++ b/rhubarblatchd/src/claims.rs
@@ -12,6 +12,7 @@
 use opentelemetry::{KeyValue, global};
 use store::{Error, Kind, Store, Version};
 use tokio::sync::{Notify, oneshot};
+use tokio::task::JoinHandle;
 use tokio::time;
 use tokio_util::task::TaskTracker;
 
@@ -117,14 +118,15 @@
         result
     }
 
-    /// Records the end of a request in the background.
-    pub fn end(self: &Arc<Self>, change: Change) {
+    /// Records the end of a request in the background. The handle is ready once it is on record or
+    /// given up.
+    pub fn end(self: &Arc<Self>, change: Change) -> JoinHandle<()> {
         let claims = self.clone();
         self.endings.spawn(async move {
             if let Err(error) = claims.submit(&change).await {
                 log::debug!("the end of key {} is not on record: {error}", change.key);
             }
-        });
+        })
     }
 
     /// Waits until the ends of all requests are on record or given up.
--- a/rhubarblatchd/src/dispatch.rs
+++ b/rhubarblatchd/src/dispatch.rs
@@ -140,7 +140,7 @@
             hop,
         };
         let outcome = run.stream(held, route, take(&mut origin.delivered)).await;
-        self.end(claimant.as_mut(), outcome, None);
+        self.end(claimant.as_mut(), outcome, None).await;
     }
 
     /// What the router is asked for a stream.
@@ -177,10 +177,10 @@
         let run = calls::Run { node, plain, call: &call, claim, deadline, hop: &hop };
         let result = run.send(held, route).await;
         match &result {
-            Ok(answer) => self.end(claimant.as_mut(), Outcome::Ran, Some(answer)),
+            Ok(answer) => self.end(claimant.as_mut(), Outcome::Ran, Some(answer)).await,
             Err(refusal) => {
                 hop.fail(refusal);
-                self.end(claimant.as_mut(), refusal.outcome, None);
+                self.end(claimant.as_mut(), refusal.outcome, None).await;
             }
         }
         result
--- a/rhubarblatchd/src/dispatch/admission.rs
+++ b/rhubarblatchd/src/dispatch/admission.rs
@@ -64,7 +64,7 @@
         match admitted {
             Ok((held, route)) => Ok(Admitted::Run(held, route, claimant)),
             Err(refusal) => {
-                self.end(claimant.as_mut(), refusal.outcome, None);
+                self.end(claimant.as_mut(), refusal.outcome, None).await;
                 Err(refusal)
             }
         }
--- a/rhubarblatchd/src/dispatch/claiming.rs
+++ b/rhubarblatchd/src/dispatch/claiming.rs
@@ -1,5 +1,7 @@
 //! Claims a request's key before the request runs, and records how it ended.
 
+use std::time::Duration;
+
 use caller::answer::Source;
 use caller::refusal::Kind;
 use caller::request::Meta;
@@ -9,12 +11,18 @@
 use decision::declaration::Repeat;
 use decision::outcome::Outcome;
 use http::StatusCode;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
 
 use super::Shared;
 use crate::claims::Peer;
 use crate::node;
 use crate::refusals;
 
+/// Longest time for which a refusal waits until its claim is released. While the store is away, the
+/// claim stands until it is back, and a repeat is told that the outcome is unknown.
+const RELEASE: Duration = Duration::from_millis(500);
+
 /// What came of a claim.
 pub(super) enum Claimed {
     /// The request may be dispatched.
@@ -36,7 +44,8 @@
             Step::Repeat(answer) => Ok(Claimed::Repeat(answer)),
             Step::Refuse(reason) => {
                 if reason.outcome() == Outcome::NotRun {
-                    self.end(Some(&mut claimant), Outcome::NotRun, None);
+                    // Nothing was granted as far as this entry knows, so nobody waits for it.
+                    drop(self.record(Some(&mut claimant), Outcome::NotRun, None));
                 }
                 Err(refusals::of_claimant(reason))
             }
@@ -44,18 +53,32 @@
     }
 
     /// Records how a claimed request ended.
-    pub(super) fn end(
+    ///
+    /// A caller who is told that a request has not run may ask the next entry at once, which must
+    /// not find it in progress: the release of its claim is waited for, within a bound.
+    pub(super) async fn end(
         &self,
         claimant: Option<&mut Claimant>,
         outcome: Outcome,
         answer: Option<&Answer>,
     ) {
-        let kept = answer.and_then(keep);
-        if let Some(change) = claimant.and_then(|it| it.ended(outcome, kept)) {
-            self.claims.end(change);
+        let Some(recorded) = self.record(claimant, outcome, answer) else { return };
+        if outcome == Outcome::NotRun && timeout(RELEASE, recorded).await.is_err() {
+            log::debug!("a refusal did not wait for the release of its claim any longer");
         }
     }
 
+    fn record(
+        &self,
+        claimant: Option<&mut Claimant>,
+        outcome: Outcome,
+        answer: Option<&Answer>,
+    ) -> Option<JoinHandle<()>> {
+        let kept = answer.and_then(keep);
+        let change = claimant.and_then(|it| it.ended(outcome, kept))?;
+        Some(self.claims.end(change))
+    }
+
     /// The key to be claimed, if the request has one and may run only once.
     pub(super) fn keyed(&self, meta: &Meta, bytes: usize) -> Option<claim::Key> {
         let key = meta.key.as_ref()?;
--- a/rhubarblatchd/tests/dispatch/main.rs
+++ b/rhubarblatchd/tests/dispatch/main.rs
@@ -53,6 +53,19 @@
     Ok(())
 }
 
+#[tokio::test]
+async fn a_payment_refused_by_one_entry_is_not_in_progress_at_the_next() -> Result<()> {
+    let (platform, store) = support::store().await?;
+    let (plain, target) = plain().await?;
+    let (without, with) = (entry(store, &[])?, entry(store, &[target])?);
+    platform.set_fault(store::Fault { slow_ms: 20, ..store::Fault::default() });
+    let refused = without.pay(Some("a"), "{}").await?.err();
+    assert_eq!(refused.map(|it| it.outcome), Some(Outcome::NotRun));
+    assert_eq!(with.pay(Some("a"), "{}").await?.err(), None);
+    assert_eq!(plain.runs(), BTreeMap::from([("a".to_owned(), 1)]));
+    Ok(())
+}
+
 #[tokio::test]
 async fn a_payment_whose_answer_is_lost_is_unknown_and_never_runs_again() -> Result<()> {
     let (_store, store) = support::store().await?;
