Let instances follow demand, and judge silence with what others may have sent

A target that reads long prompts writes nothing meanwhile; through hubs an entry hears of others' prompts 0.2 s late, and the start of 93 to 120 ms that isn't part of the cost model counted as silence. Now the limit has what others may have sent unseen (by demand and age of their words, two deviations more than usual, and no more than a pass reads) and the start that was learnt.

Replicas followed the configuration's share for ever. The owner now follows level and misses by model (rises in 1.5 s, falls in 12 s), forms what is wanted by the square-root rule, and moves instances when one model's callers miss 8 in 100 more than another's and the higher pressure falls: weights are brought while the replicas serve, their streams end by themselves (8 s), and a part of all instances moves at a time.

Tests: moves in both directions, a healthy fleet that is left alone, a short burst, an owner that dies midway; owners that overlap get demand that jumps among their troubles and break no rule.

--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -10,6 +10,7 @@
 //! | Who owns the replicas next? | [`candidate::pause`] |
 //! | What is to be formed, healed, staged? | [`formation::Formation`] |
 
+pub mod allotment;
 pub mod balance;
 pub mod budget;
 pub mod candidate;
--- a/decision/src/gateway/balance.rs
+++ b/decision/src/gateway/balance.rs
@@ -82,6 +82,8 @@
     engine: Engine,
     warmup_rate: f64,
     keys: Vec<Key>,
+    /// Targets by model.
+    served: HashMap<Arc<str>, usize>,
     /// What was learnt of each model.
     norms: HashMap<Arc<str>, Norm>,
     /// The ranks that were asked for lately, by model.
@@ -157,7 +159,11 @@
             track.listed = false;
             known.insert((track.target.id.clone(), track.target.life), key);
         }
+        pool.served.clear();
         for (target, cold) in targets {
+            if let Some(model) = &target.model {
+                *pool.served.entry(model.clone()).or_default() += 1;
+            }
             let cold_until = now + cold;
             let key = known.remove(&(target.id.clone(), target.life));
             let key = match key.and_then(|key| Some((key, self.tracks.get_mut(key)?))) {
@@ -344,14 +350,26 @@
 
     /// Counts a request of a caller, wherever it will be placed, if at all.
     pub fn asked(&mut self, now: Time, service: &str, ask: &Ask) {
-        let Some(pool) = self.pools.get(service) else { return };
+        let Some(pool) = self.pools.get_mut(service) else { return };
         let Some(model) = ask.model.as_ref().and_then(|it| pool.engine.model(it)) else { return };
-        let norm = pool.norm_of(Some(&model.name));
+        let name = model.name.clone();
+        let norm = pool.norms.entry(name.clone()).or_default();
+        norm.asked(ask.prompt);
+        let norm = *norm;
+        let Some(model) = pool.engine.model(&name) else { return };
         let work = pool.engine.work_ms(model.pace, ask.prompt, norm.length());
         let work = Duration::try_from_secs_f64(work / 1_000.0).unwrap_or_default();
         self.demand.ask(now, tag(&model.name), work);
     }
 
+    /// Counts a request for `model` that was refused or late.
+    pub fn missed(&mut self, now: Time, service: &str, model: &str) {
+        let known = self.pools.get(service).is_some_and(|it| it.engine.model(model).is_some());
+        if known {
+            self.demand.miss(now, tag(model));
+        }
+    }
+
     /// What is asked for at all entries.
     pub fn demand(&self) -> &Ledger {
         &self.demand
@@ -435,12 +453,29 @@
         let turns = excess * norm.length() / f64::from(track.target.slots.max(1));
         let pass = track.pass_ms(now, &pool.engine, &norm, load.running) * (passes + turns);
         let pace = track.target.pace * track.slowness(now);
-        let prefill = pool.engine.prefill_ms(pace, u64::from(load.prefill));
-        let slack = if track.writing { self.settings.silence } else { self.settings.first };
+        let tokens = u64::from(load.prefill) + self.unseen(now, pool, &norm, track);
+        let tokens = if track.writing { tokens.min(pool.engine.pass_tokens()) } else { tokens };
+        let prefill = pool.engine.prefill_ms(pace, tokens);
+        let slack = match track.writing {
+            true => self.settings.silence,
+            false => self.settings.first + Duration::from_secs_f64(norm.start_ms() / 1_000.0),
+        };
         let heard = track.heard.max(track.peer_heard);
         heard + slack + Duration::from_secs_f64((pass + prefill) / 1_000.0)
     }
 
+    /// Prompt tokens that others may have sent to a target without this entry having heard of it,
+    /// and that halt its streams meanwhile: twice the deviation more than is usual.
+    fn unseen(&self, now: Time, pool: &Pool, norm: &Norm, track: &Track) -> u64 {
+        let Some(model) = &track.target.model else { return 0 };
+        let targets = pool.served.get(model).copied().unwrap_or(1).max(1) as f64;
+        let rate = self.demand.of(now, tag(model)).requests / targets;
+        let arrivals = rate * self.settings.lag.as_secs_f64();
+        // Prompts vary by about as much as they are long.
+        let most = arrivals + 2.0 * (2.0 * arrivals).sqrt();
+        (most * norm.prompt()) as u64
+    }
+
     /// Makes a target suspect that was silent for too long. Returns whether it is suspect.
     pub fn check_silence(&mut self, now: Time, key: Key) -> bool {
         if now < self.silence_limit(now, key) {
--- a/decision/src/gateway/balance/speed.rs
+++ b/decision/src/gateway/balance/speed.rs
@@ -40,6 +40,9 @@
 /// Passes of an answer before any was seen.
 const USUAL_LENGTH: f64 = 25.0;
 
+/// Most tokens of one prompt that count.
+const MAX_PROMPT: f64 = 1e6;
+
 /// Most passes of one answer that count.
 const MAX_LENGTH: f64 = 1_000.0;
 
@@ -55,12 +58,21 @@
     passes: u32,
     /// Passes of a whole answer.
     length: f64,
+    /// Tokens of a prompt.
+    prompt: f64,
 }
 
 impl Default for Norm {
     /// As the cost model says.
     fn default() -> Norm {
-        Norm { start_ms: 0.0, starts: 0, stretch: 1.0, passes: 0, length: USUAL_LENGTH }
+        Norm {
+            start_ms: 0.0,
+            starts: 0,
+            stretch: 1.0,
+            passes: 0,
+            length: USUAL_LENGTH,
+            prompt: 0.0,
+        }
     }
 }
 
@@ -80,6 +92,18 @@
         self.length
     }
 
+    /// Tokens of a prompt, on average.
+    pub fn prompt(&self) -> f64 {
+        self.prompt
+    }
+
+    /// Takes the prompt of a request.
+    pub fn asked(&mut self, tokens: u64) {
+        let tokens = (tokens as f64).min(MAX_PROMPT);
+        let keep = if self.prompt > 0.0 { MODEL_KEEP } else { 0.0 };
+        self.prompt = self.prompt * keep + tokens * (1.0 - keep);
+    }
+
     /// Takes an answer that ended after so many passes.
     pub fn ended(&mut self, passes: u32) {
         let passes = f64::from(passes).clamp(1.0, MAX_LENGTH);
--- a/decision/src/gateway/demand.rs
+++ b/decision/src/gateway/demand.rs
@@ -20,7 +20,7 @@
 const MAX_PEERS: usize = 4_096;
 
 /// Most that one word is believed: requests a second, and replicas' worth of work.
-const MOST: Demand = Demand { requests: 1e6, work: 1e5 };
+const MOST: Demand = Demand { requests: 1e6, work: 1e5, missed: 1e6 };
 
 /// What is asked for of one model.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -29,25 +29,46 @@
     pub requests: f64,
     /// Replicas that are busy with it, if all their slots are taken.
     pub work: f64,
+    /// Requests a second that were refused or late.
+    pub missed: f64,
 }
 
 impl Demand {
     /// Both together.
     pub fn plus(self, other: Demand) -> Demand {
-        Demand { requests: self.requests + other.requests, work: self.work + other.work }
+        Demand {
+            requests: self.requests + other.requests,
+            work: self.work + other.work,
+            missed: self.missed + other.missed,
+        }
     }
 
     /// What remains without `other`.
     pub fn minus(self, other: Demand) -> Demand {
-        let requests = (self.requests - other.requests).max(0.0);
-        Demand { requests, work: (self.work - other.work).max(0.0) }
+        Demand {
+            requests: (self.requests - other.requests).max(0.0),
+            work: (self.work - other.work).max(0.0),
+            missed: (self.missed - other.missed).max(0.0),
+        }
+    }
+
+    fn times(self, factor: f64) -> Demand {
+        Demand {
+            requests: self.requests * factor,
+            work: self.work * factor,
+            missed: self.missed * factor,
+        }
     }
 
     /// What can be believed of it.
-    fn sane(self) -> Demand {
+    pub(crate) fn sane(self) -> Demand {
         let sane =
             |value: f64, most: f64| if value.is_finite() { value.clamp(0.0, most) } else { 0.0 };
-        Demand { requests: sane(self.requests, MOST.requests), work: sane(self.work, MOST.work) }
+        Demand {
+            requests: sane(self.requests, MOST.requests),
+            work: sane(self.work, MOST.work),
+            missed: sane(self.missed, MOST.missed),
+        }
     }
 }
 
@@ -81,18 +102,16 @@
 impl Meter {
     fn faded(&self, now: Time) -> Demand {
         let part = (-now.since(self.at).as_secs_f64() / SPAN.as_secs_f64()).exp();
-        Demand { requests: self.sum.requests * part, work: self.sum.work * part }
+        self.sum.times(part)
     }
 
-    fn add(&mut self, now: Time, work: Duration) {
-        self.sum = self.faded(now).plus(Demand { requests: 1.0, work: work.as_secs_f64() });
+    fn add(&mut self, now: Time, more: Demand) {
+        self.sum = self.faded(now).plus(more);
         self.at = now;
     }
 
     fn rate(&self, now: Time) -> Demand {
-        let sum = self.faded(now);
-        let span = SPAN.as_secs_f64();
-        Demand { requests: sum.requests / span, work: sum.work / span }
+        self.faded(now).times(1.0 / SPAN.as_secs_f64())
     }
 }
 
@@ -106,8 +125,18 @@
 impl Ledger {
     /// Counts a request for `model` that keeps a replica busy for `work`, if it were alone there.
     pub fn ask(&mut self, now: Time, model: u32, work: Duration) {
+        let more = Demand { requests: 1.0, work: work.as_secs_f64(), ..Demand::default() };
+        self.count(now, model, more);
+    }
+
+    /// Counts a request for `model` that was refused or late.
+    pub fn miss(&mut self, now: Time, model: u32) {
+        self.count(now, model, Demand { missed: 1.0, ..Demand::default() });
+    }
+
+    fn count(&mut self, now: Time, model: u32, more: Demand) {
         if self.own.len() < MAX_MODELS || self.own.contains_key(&model) {
-            self.own.entry(model).or_default().add(now, work);
+            self.own.entry(model).or_default().add(now, more);
         }
     }
 
--- a/decision/src/gateway/engine.rs
+++ b/decision/src/gateway/engine.rs
@@ -21,6 +21,8 @@
     pub stride: u32,
     /// Prompt tokens read in a second.
     pub prefill_rate: f64,
+    /// Prompt tokens read in one step at most, 0 if that isn't limited.
+    pub chunk: u32,
     /// Weight loads that the weight store serves at full speed.
     pub parallel_loads: u32,
     /// Weight loads that may begin in a second.
@@ -60,6 +62,14 @@
         step * f64::from(self.stride.max(1)) * pace
     }
 
+    /// Prompt tokens that are read between two events of a stream at most.
+    pub fn pass_tokens(&self) -> u64 {
+        match u64::from(self.chunk) * u64::from(self.stride.max(1)) {
+            0 => u64::MAX,
+            tokens => tokens,
+        }
+    }
+
     /// Milliseconds for which a request keeps a replica busy that has all its slots taken, given the
     /// passes that its answer takes.
     pub fn work_ms(&self, pace: f64, prompt: u64, passes: f64) -> f64 {
--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -11,6 +11,7 @@
 mod groups;
 mod life;
 mod order;
+mod reallot;
 mod staging;
 mod supply;
 mod view;
@@ -22,11 +23,13 @@
 pub use change::{Cause, Change, Reason, Step};
 pub use order::{Action, Close, Order, Premise, Taken, Verdict};
 
+use crate::gateway::allotment::Allotment;
 use crate::gateway::engine::Engine;
 use crate::gateway::fleet::{Instance, Phase, Presence, State};
 use crate::prelude::*;
 use group::{Group, Stage};
 use groups::Groups;
+use reallot::Case;
 use view::{Instances, has};
 
 /// Epochs of one owner. The owner's fencing token is the part above.
@@ -54,6 +57,8 @@
     pub rebalance: Duration,
     /// Longest time that a head which stops has for the requests that it runs.
     pub closing: Duration,
+    /// The same if it gives way to another model, so that nothing is cut off for that.
+    pub yielding: Duration,
     /// Time without a new instance after which the first replicas are formed at a first start,
     /// and without a change of the free instances after which weights are staged on them.
     pub settle: Duration,
@@ -113,6 +118,10 @@
     /// Whether a replica is ready to be opened once the lease has been read.
     waits: bool,
     changes: Vec<Change>,
+    /// What callers ask for.
+    allotment: Allotment,
+    /// What speaks for a move between models.
+    case: Case,
 }
 
 type Key = (Arc<str>, u64);
@@ -148,6 +157,7 @@
             load_window: Duration::from_secs(5),
             rebalance: Duration::from_secs(8),
             closing: Duration::from_millis(2_500),
+            yielding: Duration::from_secs(8),
             settle: Duration::from_millis(400),
             vouched: Duration::from_millis(2_000),
             left: Duration::from_millis(1_500),
@@ -189,6 +199,8 @@
             held: None,
             waits: false,
             changes: Vec::new(),
+            allotment: Allotment::default(),
+            case: Case::default(),
         }
     }
 
@@ -310,6 +322,7 @@
         instances: impl IntoIterator<Item = (&'a Instance, Presence)>,
     ) -> Vec<Action> {
         let all = Instances::new(instances);
+        let engine = &self.allotment.apply(now, engine);
         self.forget(now, &all);
         self.waits = false;
         let window = self.settings.load_window.as_secs_f64();
@@ -329,6 +342,7 @@
             return actions;
         }
         self.rebalance(now, engine, &all, &free);
+        self.reallot(now, engine, &all, &free, &mut actions);
         self.form(now, engine, &all, &mut free, &mut actions);
         self.stage(now, engine, &all, &free, &mut actions);
         actions
--- a/decision/src/gateway/formation/change.rs
+++ b/decision/src/gateway/formation/change.rs
@@ -62,6 +62,8 @@
     Late,
     /// Its instances are wanted for another model.
     GivesWay,
+    /// Callers want its instances for another model.
+    Reallotted,
     /// The head has left.
     HeadLeft,
     /// Nothing has been heard of the head for so long that it is forgotten.
@@ -120,6 +122,7 @@
             Reason::Contested => "not what it was taken for",
             Reason::Late => "not formed in time",
             Reason::GivesWay => "gives way to another model",
+            Reason::Reallotted => "callers want another model",
             Reason::HeadLeft => "the head has left",
             Reason::HeadForgotten => "the head is forgotten",
             Reason::Inherited => "joined for an earlier owner",
--- a/decision/src/gateway/formation/ending.rs
+++ b/decision/src/gateway/formation/ending.rs
@@ -68,7 +68,11 @@
             return None;
         }
         let whole = group.places().all(|(id, born)| self.is_present(now, all, id, born));
-        let patient = whole && now.since(group.ended) < self.settings.closing;
+        let closing = match group.unwanted {
+            true => self.settings.yielding,
+            false => self.settings.closing,
+        };
+        let patient = whole && now.since(group.ended) < closing;
         let order = match state {
             Some(State::Open | State::Closing) if patient => {
                 Order::Close { group: key.0.clone(), epoch: key.1, mode: Close::Wait }
--- a/decision/src/gateway/formation/staging.rs
+++ b/decision/src/gateway/formation/staging.rs
@@ -113,7 +113,8 @@
     ) -> Vec<(Arc<str>, &'a Model)> {
         let room = spares.len().saturating_sub(self.reserve(engine, fabric));
         let possible = engine.models.iter().filter(|it| it.size <= room);
-        let possible = possible.filter(|it| is_due(it, engine, counts));
+        let possible =
+            possible.filter(|it| is_due(it, engine, counts) || self.is_in_want(it, counts));
         let calm = !self.is_hasty(all, fabric);
         if let Some(model) = possible.min_by(|a, b| cost(a, counts).total_cmp(&cost(b, counts))) {
             let others = spares.iter().filter(|it| !has(it, &model.name));
--- a/decision/src/gateway/formation/view.rs
+++ b/decision/src/gateway/formation/view.rs
@@ -52,7 +52,8 @@
     spares.iter().filter(|it| has(it, &model.name)).count()
 }
 
-/// Whether the weights of `model` are on the instance's host.
+/// Whether an instance joins a replica of `model` without a load: it has served it since its start,
+/// or the weights are on its host.
 pub(super) fn has(instance: &Instance, model: &str) -> bool {
-    instance.staged.iter().any(|it| &**it == model)
+    instance.model.as_deref() == Some(model) || instance.staged.iter().any(|it| &**it == model)
 }
--- a/decision/tests/gateway/balance.rs
+++ b/decision/tests/gateway/balance.rs
@@ -4,6 +4,7 @@
 use decision::gateway::balance::{
     Ask, Balance, Choice, End, Key, Load, Part, Settings, Target, tag,
 };
+use decision::gateway::demand::{Demand, Demands};
 use decision::prelude::*;
 
 use crate::support::{at, engine, ms, target};
@@ -136,6 +137,65 @@
     assert!(balance.check_silence(at(2_000), key));
 }
 
+#[test]
+fn a_target_that_reads_what_others_sent_unseen_is_not_silent() {
+    let silent = |requests: f64| {
+        let mut balance = balance(&[target("x", "a", Some("large"))]);
+        balance.lag(ms(250));
+        balance.asked(at(0), "models", &ask());
+        let demand = Demand { requests, ..Demand::default() };
+        balance.hear_demand(at(0), 1, Demands::from([(tag("large"), demand)]));
+        let key = send(&mut balance, at(0), &ask());
+        balance.first(key, 1_000);
+        balance.hear(at(100), key);
+        balance.check_silence(at(300), key)
+    };
+    assert!(silent(0.0));
+    assert!(!silent(20.0));
+    // However much is asked for, no more than so much is read between two events.
+    let mut balance = balance(&[target("x", "a", Some("large"))]);
+    let most = Demand { requests: 1e6, ..Demand::default() };
+    balance.asked(at(0), "models", &ask());
+    balance.hear_demand(at(0), 1, Demands::from([(tag("large"), most)]));
+    let key = send(&mut balance, at(0), &ask());
+    balance.hear(at(100), key);
+    assert!(balance.check_silence(at(700), key));
+}
+
+#[test]
+fn a_start_that_was_learnt_is_no_silence() {
+    let mut balance = balance(&[target("x", "a", Some("large"))]);
+    for _ in 0..3 {
+        let choice = balance.choose(at(0), "models", &ask());
+        let Choice::Send(key, forecast) = choice else { panic!("{choice:?}") };
+        balance.first(key, 1_000);
+        balance.started(key, &forecast, ms(400));
+        balance.end(at(0), key, 0, End::Answered);
+    }
+    let key = send(&mut balance, at(1_000), &ask());
+    assert!(!balance.check_silence(at(1_400), key));
+    assert!(balance.check_silence(at(2_000), key));
+}
+
+#[test]
+fn a_target_that_is_slow_for_everyone_gets_what_it_can_do_in_time() {
+    let targets = ["x", "y", "z"].map(|it| Target { slots: 20, ..target(it, "a", Some("large")) });
+    let mut balance = balance(&targets);
+    let slow = Load { running: 1, slowness: 80, ..Load::default() };
+    balance.hear_peer(at(0), 1, Part::default(), &HashMap::from([(tag("x"), slow)]));
+    let mut served = |now| {
+        let key = send(&mut balance, at(now), &ask());
+        balance.first(key, 1_000);
+        balance.end(at(now), key, 0, End::Answered);
+        id(&balance, key)
+    };
+    for _ in 0..20 {
+        assert_ne!(&*served(0), "x");
+    }
+    // Nobody has said so for a while, and it is tried again.
+    assert!((0..40).any(|_| &*served(12_000) == "x"));
+}
+
 #[test]
 fn a_target_that_fails_is_avoided() {
     let mut balance = balance(&[target("x", "a", None), target("y", "a", None)]);
--- a/decision/tests/gateway/main.rs
+++ b/decision/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions for requests that pass through unread.
 
 mod admission;
+mod allotment;
 mod balance;
 mod budget;
 mod candidate;
--- a/decision/tests/gateway/support.rs
+++ b/decision/tests/gateway/support.rs
@@ -37,6 +37,7 @@
         sequence_ms: 0.0967,
         stride: 6,
         prefill_rate: 56_100.0,
+        chunk: 2_048,
         parallel_loads: 8,
         load_rate: 5.5,
         open: ms(300),
--- a/gateway/src/journal.rs
+++ b/gateway/src/journal.rs
@@ -57,6 +57,16 @@
         config_age_ms: u64,
         waited_ms: u64,
     },
+    /// What callers want of a model, in replicas, and how many there are.
+    Allotted {
+        service: &'a str,
+        model: &'a str,
+        requests: f64,
+        work: f64,
+        missed: f64,
+        wanted: f64,
+        replicas: usize,
+    },
     /// A request was sent to a target.
     Sent {
         request: &'a str,
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -3,6 +3,7 @@
 //! Peers see by datagrams whether the holder of the [`lease`] lives, and instances refuse the
 //! orders of an earlier holder.
 
+mod allotment;
 mod probe;
 
 use std::collections::HashMap;
@@ -16,6 +17,7 @@
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::{sleep, timeout};
 
+use self::allotment::Told;
 use self::probe::Probe;
 use crate::follow;
 use crate::journal::Event;
@@ -78,6 +80,8 @@
     store_at: Time,
     reading: Reading,
     probes: HashMap<Arc<str>, Probe>,
+    /// What was written of the demand for models.
+    allotted: Told,
     /// Orders that are being given, or wait for it.
     pending: HashMap<Arc<str>, Order>,
     /// Places for those that are being given.
@@ -100,6 +104,7 @@
         store_at: vacant_since,
         reading: Reading::Idle,
         probes: HashMap::new(),
+        allotted: Told::default(),
         pending: HashMap::new(),
         places: Arc::new(Semaphore::new(ORDERS)),
         results,
@@ -286,6 +291,7 @@
             return self.give_up("a later owner has formed replicas");
         }
         let seen = self.shared.seen.load(std::sync::atomic::Ordering::Relaxed);
+        let demands = self.shared.balance().demand().all(now);
         let mut doubtful = Vec::new();
         for service in table.services() {
             let Some(engine) = &service.engine else { continue };
@@ -296,10 +302,13 @@
                 formation
             });
             formation.free_loads(!seen && self.shared.settings().first_start);
+            allotment::hear(now, formation, engine, &demands);
             let of = instances.iter().filter(|(it, _)| it.service == service.name);
             let actions = formation.plan(now, engine, of.map(|(it, presence)| (&**it, *presence)));
             doubtful.extend(formation.doubtful());
             tell(&self.shared, &service.name, formation);
+            let of = (&*service.name, engine);
+            self.allotted.tell(now, &self.shared.journal, of, formation, &demands);
             for action in actions {
                 self.order(fence, action);
             }
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -252,6 +252,10 @@
     /// Notes the final answer.
     pub(crate) fn ended(&self, target: &str, status: StatusCode, outcome: &str, times: Times) {
         let first = times.first.unwrap_or_else(|| self.shared.now().since(self.arrived));
+        let slow = self.route.pause.is_some_and(|it| times.pause > it);
+        if outcome != "left" && (first > self.route.objective || slow || !status.is_success()) {
+            self.missed();
+        }
         let labels = format!("route=\"{}\",outcome=\"{outcome}\"", self.route.name);
         self.shared.metrics.count("rhubarblatch_requests_total", &labels);
         let label = format!("route=\"{}\"", self.route.name);
@@ -284,8 +288,17 @@
         self.refuse(&refusal)
     }
 
+    /// Counts the request among those of its model that were refused or late.
+    fn missed(&self) {
+        let model = self.service.engine.as_ref().and(self.head.model.as_ref());
+        if let Some(model) = model {
+            self.shared.balance().missed(self.shared.now(), &self.service.name, model);
+        }
+    }
+
     /// Notes a refusal and turns it into an answer.
     pub(crate) fn refuse(&self, refusal: &Refusal) -> Response<Answer> {
+        self.missed();
         let labels = format!("route=\"{}\",outcome=\"refused\"", self.route.name);
         self.shared.metrics.count("rhubarblatch_requests_total", &labels);
         self.shared.journal.note(&Event::Refused {
