Let requests wait in order, and bound what an entry holds for slow readers

What waited at an entry was woken by arrival when any slot of any model became free, or all at once; priorities were read and never used. Now there is one line per service and model over the fair queue of the own daemon (deficit round robin over workspaces, higher rank first): whoever comes waits behind those who wait, what becomes free is offered in order, one that doesn't fit keeps its place and lets others by, 1,024 wait at most, and everyone is told within an eighth of the objective.

What an entry held for callers that don't read had no bound over all of them, and a target whose stream waited for its caller was left unread after 16 pieces, for which targets cut answers off. Bodies and pieces now come out of a quarter of the entry's memory (`memory_mb`); a stream is read ahead by 64 KiB, and without room by one piece at a time, so that each goes on; a body without room is refused with a time to come back. A pause for which this entry itself is to blame is not counted as the target's.

Tests: the line in order, fair, bounded, everyone answered once by search; the bounds of held bytes, with slow callers that hold all there is. Not tested on real processes yet.

--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -20,5 +20,6 @@
 pub mod exchange;
 pub mod fleet;
 pub mod formation;
+pub mod line;
 pub mod route;
 pub mod warmup;
--- a/decision/tests/gateway/main.rs
+++ b/decision/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod exchange;
 mod fleet;
 mod formation;
+mod line;
 mod opening;
 mod owner;
 mod owners;
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -20,7 +20,7 @@
 use crate::port::{self, Entry, Kind, Platform, When};
 use crate::settings::{Listen, Settings};
 use crate::state::{Counts, Shared};
-use crate::{follow, intake, owner, peers, ready, relay};
+use crate::{follow, intake, owner, peers, ready, relay, wait};
 
 /// Time for which a stopping entry still takes new connections: the platform asks once a second
 /// whether it is ready, and sends none after two misses.
@@ -125,6 +125,7 @@
         tasks.spawn(relay::serve(shared.clone(), relay));
         tasks.spawn(owner::run(shared.clone(), life));
         tasks.spawn(register(shared.clone()));
+        tasks.spawn(wait::run(shared.clone()));
         tasks.spawn(upkeep(shared.clone()));
         if let Some(metrics) = &mut addresses.metrics {
             tasks.spawn(ready::serve(shared.clone(), bind(metrics).await?));
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -33,6 +33,12 @@
 /// Pause after the system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Bytes for which there must be room before a body is read whose length isn't told.
+const LEAST_BODY: usize = 4_096;
+
+/// When a caller may come back whose body there was no room for.
+const NO_MEMORY: Duration = Duration::from_millis(500);
+
 /// Pause between two looks whether a stopping entry's connection is idle.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -148,6 +154,10 @@
         Err(refusal) => return refuse(shared, &head, &refusal),
     };
     let too_large = body.size_hint().lower() > limits.body_bytes as u64;
+    let expected = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let reserved = expected.clamp(LEAST_BODY, limits.body_bytes.max(LEAST_BODY));
+    let full = Refusal::later("no memory for its body", NO_MEMORY);
+    let Some(held) = shared.hold.take(reserved) else { return refuse(shared, &head, &full) };
     let body = match read(body, limits.body_bytes).await {
         Ok(body) if !too_large => body,
         Ok(_) => {
@@ -156,6 +166,9 @@
         }
         Err(refusal) => return refuse(shared, &head, &refusal),
     };
+    let Some(rest) = shared.hold.take(body.len().saturating_sub(reserved)) else {
+        return refuse(shared, &head, &full);
+    };
     shared.count_request(&way.service.name);
     let uri = target_uri(&parts);
     strip(&mut parts.headers);
@@ -173,6 +186,7 @@
         uri,
         headers: parts.headers,
         body,
+        _held: [held, rest],
         arrived,
         deadline: arrived + patience,
         tried: Vec::new(),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod daemon;
 pub mod error;
 mod follow;
+pub mod hold;
 mod intake;
 mod journal;
 mod lease;
@@ -38,6 +39,7 @@
 pub mod splitter;
 mod state;
 mod stream;
+mod wait;
 mod way;
 
 pub use error::Error;
--- a/gateway/src/peers/hear.rs
+++ b/gateway/src/peers/hear.rs
@@ -152,6 +152,7 @@
     balance.hear_peer(now, HUB, loads.part, &items);
     balance.hear_demand(now, HUB, demands);
     drop(balance);
+    shared.freed.notify_one();
     spread(shared, &news);
     let mut state = shared.peers.state();
     state.silence.heard(&from);
--- a/gateway/src/place.rs
+++ b/gateway/src/place.rs
@@ -21,6 +21,8 @@
     /// When its last event came, and how many did.
     event: Option<Time>,
     events: u32,
+    /// Whether this entry waited for its caller before it read on.
+    late: bool,
     ended: bool,
 }
 
@@ -33,19 +35,37 @@
         prompt: u64,
     ) -> Place<P> {
         let since = shared.now();
-        Place { shared, key, target, forecast, prompt, since, event: None, events: 0, ended: false }
+        Place {
+            shared,
+            key,
+            target,
+            forecast,
+            prompt,
+            since,
+            event: None,
+            events: 0,
+            late: false,
+            ended: false,
+        }
     }
 
     /// Notes that events came. The first of them says that the prompt was read.
     pub(crate) fn event(&mut self) {
         let now = self.shared.now();
         self.events = self.events.saturating_add(1);
+        let late = std::mem::take(&mut self.late);
         match self.event.replace(now) {
+            Some(_) if late => {}
             Some(last) => self.shared.balance().passed(now, self.key, now.since(last)),
             None => self.first(now),
         }
     }
 
+    /// Notes that the next event says nothing of the target, since this entry read it late.
+    pub(crate) fn skip(&mut self) {
+        self.late = true;
+    }
+
     fn first(&mut self, now: Time) {
         let took = now.since(self.since);
         let prompt = std::mem::take(&mut self.prompt);
--- a/gateway/src/ready.rs
+++ b/gateway/src/ready.rs
@@ -77,6 +77,8 @@
     drop(knowledge);
     let suspects = shared.balance().suspects().count() as f64;
     let mut all = gauges.to_vec();
+    all.push(("rhubarblatch_waiting_requests", shared.waits.len() as f64));
+    all.push(("rhubarblatch_held_bytes", shared.hold.used() as f64));
     all.push(("rhubarblatch_suspect_targets", suspects));
     shared.metrics.text(&all)
 }
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -5,19 +5,21 @@
 use bytes::Bytes;
 use decision::gateway::balance::{Ask, Choice, Key};
 use decision::gateway::config::{Route, Service};
+use decision::gateway::line::{Lane, Waiter};
 use decision::prelude::*;
 use http::header::{self, HeaderName};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, request};
 use http_body_util::Full;
 use rand::RngExt as _;
-use tokio::time::{Instant, timeout_at};
 
 use crate::body::Answer;
+use crate::hold::Held;
 use crate::journal::Event;
 use crate::place::Place;
 use crate::port::{Envelope, Head, Malformed, Outgoing, Platform};
 use crate::refusal::{Denial, Refusal};
 use crate::state::Shared;
+use crate::wait;
 
 /// Part of the objective that a request may wait at this entry for a free slot.
 const QUEUE_PART: u32 = 8;
@@ -66,8 +68,9 @@
     pub(crate) uri: Uri,
     /// Headers as the caller sent them, without those of its connection.
     pub(crate) headers: HeaderMap,
-    /// Body.
+    /// Body, and its part of what this entry holds.
     pub(crate) body: Bytes,
+    pub(crate) _held: [Held; 2],
     /// When it was read.
     pub(crate) arrived: Time,
     /// When the caller or the route gives it up.
@@ -107,37 +110,12 @@
             && self.shared.may_repeat(&self.service.name)
     }
 
-    /// Finds a target, waiting a little while all are busy.
+    /// Finds a target, waiting a little while in the line if all are busy.
     ///
     /// # Errors
     ///
     /// Says why there is none.
     pub(crate) async fn place(&mut self, urgent: bool) -> Result<Place<P>, Denial> {
-        let arrived = self.shared.now();
-        if self.sends == 0 {
-            let ask = self.ask(arrived, urgent);
-            self.shared.balance().asked(arrived, &self.service.name, &ask);
-        }
-        let patience = self.route.objective / QUEUE_PART;
-        let until = self.shared.clock.instant((arrived + patience).min(self.deadline));
-        loop {
-            let shared = self.shared.clone();
-            let freed = shared.freed.notified();
-            tokio::pin!(freed);
-            freed.as_mut().enable();
-            match self.choose(urgent) {
-                Ok(place) => return Ok(place),
-                Err(Denial::Busy(after)) => {
-                    if Instant::now() >= until || timeout_at(until, freed).await.is_err() {
-                        return Err(Denial::Busy(after));
-                    }
-                }
-                Err(denial) => return Err(denial),
-            }
-        }
-    }
-
-    fn choose(&mut self, urgent: bool) -> Result<Place<P>, Denial> {
         let now = self.shared.now();
         if now >= self.deadline {
             return Err(Denial::Late);
@@ -147,16 +125,32 @@
         if repeat && !self.shared.may_repeat(&self.service.name) {
             return Err(Denial::Budget);
         }
+        if !repeat {
+            self.shared.balance().asked(now, &self.service.name, &ask);
+        }
+        let place = match self.choose(now, &ask) {
+            Err(Denial::Busy(after)) => self.wait(now, ask, after).await,
+            chosen => chosen,
+        };
+        if place.is_ok() {
+            self.shared.loaded.notify_one();
+            if repeat {
+                self.shared.count_repeat(&self.service.name);
+            }
+        }
+        place
+    }
+
+    fn choose(&self, now: Time, ask: &Ask) -> Result<Place<P>, Denial> {
+        // Those who wait already come first.
+        if !ask.urgent && self.shared.waits.is_waited(&self.lane(ask)) {
+            return Err(Denial::Busy(RETURN_LEAST));
+        }
         let mut balance = self.shared.balance();
-        match balance.choose(now, &self.service.name, &ask) {
+        match balance.choose(now, &self.service.name, ask) {
             Choice::Send(key, forecast) => {
-                let target = balance.target(key).cloned();
+                let target = balance.target(key).cloned().ok_or(Denial::Nothing)?;
                 drop(balance);
-                if repeat {
-                    self.shared.count_repeat(&self.service.name);
-                }
-                self.shared.loaded.notify_one();
-                let target = target.ok_or(Denial::Nothing)?;
                 Ok(Place::new(self.shared.clone(), (key, target), forecast, ask.prompt))
             }
             Choice::Busy(after) => Err(Denial::Busy(after)),
@@ -164,6 +158,21 @@
         }
     }
 
+    async fn wait(&self, now: Time, ask: Ask, after: Duration) -> Result<Place<P>, Denial> {
+        let until = (now + self.route.objective / QUEUE_PART).min(self.deadline);
+        let waiter = Waiter {
+            lane: self.lane(&ask),
+            rank: self.rank,
+            workspace: self.workspace.clone(),
+            cost: ask.prompt.saturating_add(self.head.output),
+        };
+        wait::wait(&self.shared, waiter, ask, (until, after)).await
+    }
+
+    fn lane(&self, ask: &Ask) -> Lane {
+        (self.service.name.clone(), ask.model.clone())
+    }
+
     /// What the request asks of a target now.
     fn ask(&self, now: Time, urgent: bool) -> Ask {
         Ask {
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -26,6 +26,9 @@
     /// Cores that it may use, fractions too. Entries with more of them take on work for others.
     #[serde(default = "one")]
     pub cores: f64,
+    /// Memory that it may use, in MB. A part of it is held for callers and targets.
+    #[serde(default = "memory")]
+    pub memory_mb: f64,
     /// Bounds that the operators state.
     #[serde(default)]
     pub bounds: Bounds,
@@ -91,6 +94,10 @@
     }
 }
 
+fn memory() -> f64 {
+    256.0
+}
+
 fn one() -> f64 {
     1.0
 }
@@ -117,6 +124,11 @@
         (self.cores * 1_000.0) as u32
     }
 
+    /// Bytes of memory that it may use.
+    pub fn memory_bytes(&self) -> usize {
+        (self.memory_mb * 1e6) as usize
+    }
+
     fn check(&self) -> Result<(), Error> {
         let bounds = &self.bounds;
         let positive = [
@@ -127,6 +139,7 @@
             ("bounds.grace_s", bounds.grace_s),
             ("bounds.retry_window_s", bounds.retry_window_s),
             ("cores", self.cores),
+            ("memory_mb", self.memory_mb),
         ];
         for (field, value) in positive {
             if !value.is_finite() || value <= 0.0 {
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::hold::Hold;
 use crate::journal::{Event, Journal};
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
@@ -21,6 +22,7 @@
 use crate::pool::{self, Pool};
 use crate::port::Entry;
 use crate::settings::Settings;
+use crate::wait::Waits;
 
 /// Pause between signs of life on a connection to the store.
 const STORE_KEEPALIVE: Duration = Duration::from_secs(1);
@@ -41,6 +43,10 @@
     pub(crate) store: Pool,
     /// A slot may be free.
     pub(crate) freed: Notify,
+    /// Requests that wait for one.
+    pub(crate) waits: Waits<P>,
+    /// Bytes that are held for callers and targets.
+    pub(crate) hold: Hold,
     /// What is in progress has changed.
     pub(crate) loaded: Notify,
     /// The list of instances, or what is known of them, has changed.
@@ -101,8 +107,10 @@
             connect: Duration::from_millis(500),
             ..pool::Settings::default()
         };
+        let hold = Hold::of_memory(settings.memory_bytes());
         Shared {
             platform,
+            hold,
             settings: ArcSwap::from_pointee(settings),
             clock,
             journal,
@@ -110,6 +118,7 @@
             targets: Pool::new(pool::Settings::default()),
             store: Pool::new(store),
             freed: Notify::new(),
+            waits: Waits::default(),
             loaded: Notify::new(),
             changed: Notify::new(),
             open: AtomicUsize::new(0),
@@ -275,7 +284,7 @@
         balance.retain(&names);
         drop(balance);
         drop(knowledge);
-        self.freed.notify_waiters();
+        self.freed.notify_one();
         self.changed.notify_waiters();
     }
 
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -7,10 +7,9 @@
 use decision::prelude::*;
 use http::{Response, StatusCode, header, response};
 use http_body_util::BodyExt as _;
-use tokio::sync::mpsc;
 use tokio::time::sleep_until;
 
-use crate::body::{Answer, Broken};
+use crate::body::{Answer, Left, Passed, Pieces};
 use crate::call;
 use crate::error::Call;
 use crate::journal::Event;
@@ -21,8 +20,8 @@
 use crate::request::{Job, Times, strip};
 use crate::splitter::Splitter;
 
-/// Pieces of a stream that wait for a slow caller.
-const PIECES: usize = 16;
+/// Bytes of a stream that wait for a slow caller, unless the entry has no room for them.
+const AHEAD: u32 = 64 << 10;
 
 /// Silence of one stream, on a target that serves others, after which it goes on elsewhere.
 const ALONE: Duration = Duration::from_secs(1);
@@ -89,9 +88,9 @@
     *response.headers_mut() = open.head.headers.clone();
     strip(response.headers_mut());
     response.headers_mut().remove(header::CONTENT_LENGTH);
-    let (pieces, receiver) = mpsc::channel(PIECES);
+    let (pieces, answer) = Answer::stream(job.shared.hold.ahead(AHEAD));
     tokio::spawn(pump(job, open, pieces));
-    response.map(|()| Answer::stream(receiver))
+    response.map(|()| answer)
 }
 
 fn broken<P: Platform>(job: &Job<P>, stop: &Stop) -> Response<Answer> {
@@ -104,11 +103,7 @@
 }
 
 /// Passes events on until the stream is whole, can't go on, or the caller has left.
-async fn pump<P: Platform>(
-    mut job: Job<P>,
-    mut open: Open<P>,
-    pieces: mpsc::Sender<Result<Bytes, Broken>>,
-) {
+async fn pump<P: Platform>(mut job: Job<P>, mut open: Open<P>, pieces: Pieces) {
     let mut splitter = Splitter::default();
     let mut pace = Pace::default();
     loop {
@@ -150,9 +145,7 @@
             Ok(next) => open = next,
             Err(reason) => {
                 job.ended(&target, status, reason, begun);
-                // If the caller left meanwhile, nobody has to be told.
-                let _left = pieces.send(Err(Broken)).await;
-                return;
+                return pieces.fail().await;
             }
         }
         let event = Event::Resumed {
@@ -191,7 +184,7 @@
     open: &mut Open<P>,
     splitter: &mut Splitter,
     pace: &mut Pace,
-    pieces: &mpsc::Sender<Result<Bytes, Broken>>,
+    pieces: &Pieces,
 ) -> Result<(), &'static str> {
     let shared = job.shared.clone();
     let mut heard = shared.now();
@@ -233,8 +226,9 @@
         if let Some(events) = whole {
             pace.note(heard, job.arrived);
             open.place.event();
-            if pieces.send(Ok(events)).await.is_err() {
-                return Err("caller left");
+            let passed = pieces.send(events).await.map_err(|Left| "caller left")?;
+            if passed == Passed::AfterWaiting {
+                open.place.skip();
             }
         }
     }
@@ -244,7 +238,7 @@
 async fn finish<P: Platform>(
     open: &Open<P>,
     splitter: &mut Splitter,
-    pieces: &mpsc::Sender<Result<Bytes, Broken>>,
+    pieces: &Pieces,
 ) -> Result<(), &'static str> {
     if splitter.rest().is_empty() {
         return Ok(());
@@ -253,7 +247,7 @@
         return Err("stream broke off");
     }
     let rest = Bytes::copy_from_slice(splitter.rest());
-    pieces.send(Ok(rest)).await.map_err(|_| "caller left")
+    pieces.send(rest).await.map(drop).map_err(|Left| "caller left")
 }
 
 /// When to look next whether a target is silent.
