Pack whole lists once for all that ask, and name fewer entries to each

Cause, by reading: each entry that starts asks its hub for the whole list of instances; the hub wrote it anew for each of 100, in full, and each gave up after 1.3 s and asked the next, or asked again. And each hub told each entry of its failure domain the names of all others five times in three seconds, which grows with the square.

A list of 64 objects or more is now written and compressed once per revision (deflate; a quarter of its size and less in the test) and sent to all that ask; who asks for lists waits 6 s longer for them, and asks for the configuration before the list of instances. An entry is told the names of the 12 that come first and of owners, and the number of the rest.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -33,7 +33,7 @@
 pub mod port;
 mod ready;
 mod refusal;
-mod relay;
+pub mod relay;
 mod request;
 pub mod settings;
 pub mod splitter;
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -93,7 +93,8 @@
 struct Told {
     heard: Time,
     news: News,
-    /// How many entries live in other failure domains.
+    /// How many entries live in this failure domain beside the hub, and in the other ones.
+    near_alive: usize,
     far_alive: usize,
 }
 
@@ -128,8 +129,9 @@
         let near = state.alive(now).filter(|it| it.failure_domain == failure_domain).count();
         let far = state.alive(now).filter(|it| it.failure_domain != failure_domain).count();
         let domains = state.domains(now).map(|it| it.alive).sum();
-        let told = if state.is_told(now) { state.told.far_alive } else { 0 };
-        near + far.max(domains).max(told)
+        let told = state.is_told(now).then_some(&state.told);
+        let (near_told, far_told) = told.map_or((0, 0), |it| (it.near_alive, it.far_alive));
+        near.max(near_told) + far.max(domains).max(far_told)
     }
 
     /// Whether the start `life` of the peer `name` is alive.
@@ -175,7 +177,9 @@
 
     /// How many living peers there are in a failure domain.
     pub(crate) fn near(&self, now: Time, failure_domain: &str) -> usize {
-        self.state().alive(now).filter(|it| it.failure_domain == failure_domain).count()
+        let state = self.state();
+        let near = state.alive(now).filter(|it| it.failure_domain == failure_domain).count();
+        near.max(if state.is_told(now) { state.told.near_alive } else { 0 })
     }
 
     /// The tags of the targets that living peers suspect.
--- a/gateway/src/peers/hear.rs
+++ b/gateway/src/peers/hear.rs
@@ -169,11 +169,12 @@
 }
 
 fn hear_roll<P: Platform>(shared: &Shared<P>, roll: Roll) {
-    let Roll { from, near, far_alive, far } = roll;
+    let Roll { from, near, near_alive, far_alive, far } = roll;
     let now = shared.now();
     let settings = shared.settings();
     let mut state = shared.peers.state();
     state.silence.heard(&from);
+    state.told.near_alive = near_alive as usize;
     state.told.far_alive = far_alive as usize;
     let near = near.into_iter().map(|it| (settings.failure_domain.clone(), it));
     for (failure_domain, who) in near.chain(far) {
--- a/gateway/src/peers/hub.rs
+++ b/gateway/src/peers/hub.rs
@@ -10,7 +10,7 @@
 
 use super::hear::HUB;
 use super::tell::{MAX_SUSPECTS, Neighbor, Own, Teller};
-use super::word::{Loads, MAX_NAMED, Message, News, Rest, Roll, Sum, Who};
+use super::word::{Loads, MAX_FIRST, MAX_NAMED, Message, News, Rest, Roll, Sum, Who};
 use super::{ALIVE, Asker, Peer, State};
 use crate::port::Platform;
 
@@ -182,10 +182,24 @@
         near
     }
 
+    /// The entries of this failure domain that others of it need to know: those that come first to
+    /// own the replicas and to read the store, and owners.
+    fn first_named(&self, now: Time, domain: &str, own: &Own) -> Vec<Who> {
+        let near = self.near(now, domain).map(|it| it.who.clone());
+        let mut near: Vec<Who> = near.chain([own.who.clone()]).collect();
+        near.sort_by(|a, b| a.candidate().rank().cmp(&b.candidate().rank()));
+        let mut place = 0;
+        near.retain(|it| {
+            place += 1;
+            place <= MAX_FIRST || it.owner.is_some()
+        });
+        near
+    }
+
     /// Who lives, in as many parts as it takes.
     fn roll(&self, now: Time, domain: &str, own: &Own) -> Vec<Roll> {
-        let near = self.near(now, domain).map(|it| it.who.clone());
-        let near: Vec<Who> = near.chain([own.who.clone()]).collect();
+        let near_alive = u32::try_from(self.near(now, domain).count()).unwrap_or(u32::MAX);
+        let near = self.first_named(now, domain, own);
         let far = self.alive(now).filter(|it| it.failure_domain != domain);
         let far: Vec<(String, Who)> =
             far.map(|it| (it.failure_domain.clone(), it.who.clone())).collect();
@@ -194,6 +208,7 @@
         let part = |near: &[Who], far: &[(String, Who)]| Roll {
             from: own.who.name.clone(),
             near: near.to_vec(),
+            near_alive,
             far_alive,
             far: far.to_vec(),
         };
--- a/gateway/src/peers/word.rs
+++ b/gateway/src/peers/word.rs
@@ -14,6 +14,11 @@
 /// Loads in one message. More of them come in parts.
 pub(super) const MAX_LOADS: usize = 128;
 
+/// Entries of one failure domain that are named to the others of it, besides owners. The rest of
+/// them is counted, so that what a hub tells of them grows with their number, and not with its
+/// square.
+pub(super) const MAX_FIRST: usize = 12;
+
 /// Entries that are named in one message. More of them come in several.
 pub(super) const MAX_NAMED: usize = 20;
 
@@ -77,8 +82,10 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct Roll {
     pub(super) from: String,
-    /// Entries of the hub's failure domain that live.
+    /// The entries of the hub's failure domain that come first, or that own the replicas.
     pub(super) near: Vec<Who>,
+    /// How many of the hub's failure domain live beside the hub.
+    pub(super) near_alive: u32,
     /// How many live in the other ones.
     pub(super) far_alive: u32,
     /// The first of those to own the replicas, each with its failure domain.
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -1,6 +1,8 @@
 //! Lets peers read here what this entry read from the store, so that few entries of a failure
 //! domain ask the store itself.
 
+pub mod pack;
+
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -57,6 +59,14 @@
 /// Time beyond its own wait after which a question is given up.
 const PATIENCE: Duration = Duration::from_millis(300);
 
+/// The same if whole lists are asked for, as many entries may at the same time.
+const LIST_PATIENCE: Duration = Duration::from_secs(6);
+
+/// Headers of an answer whose news are packed: its age and how long the question was held, in
+/// milliseconds.
+const AGE: &str = "age-ms";
+const HELD: &str = "held-ms";
+
 /// What a peer asks for.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct Question {
@@ -93,6 +103,12 @@
     /// Its answer can't be read.
     #[error("the peer's answer can't be read: {0}")]
     Decode(#[from] rmp_serde::decode::Error),
+    /// Its packed answer can't be read.
+    #[error("the peer's answer can't be read: {0}")]
+    Unpack(#[from] pack::Error),
+    /// Its packed answer doesn't say how old it is.
+    #[error("the peer's answer doesn't say how old it is")]
+    Ageless,
 }
 
 /// Answers peers on `listener`.
@@ -129,7 +145,7 @@
         _ => Err(StatusCode::NOT_FOUND),
     };
     match answer {
-        Ok(bytes) => Response::new(Full::new(bytes)),
+        Ok(response) => response,
         Err(status) => {
             let mut response = Response::new(Full::default());
             *response.status_mut() = status;
@@ -138,7 +154,10 @@
     }
 }
 
-async fn answer<P: Platform>(shared: &Shared<P>, body: Incoming) -> Result<Bytes, StatusCode> {
+async fn answer<P: Platform>(
+    shared: &Shared<P>,
+    body: Incoming,
+) -> Result<Response<Full<Bytes>>, StatusCode> {
     let body = Limited::new(body, MAX_QUESTION).collect().await;
     let body = body.map_err(|_| StatusCode::BAD_REQUEST)?.to_bytes();
     let question: Question = rmp_serde::from_slice(&body).map_err(|_| StatusCode::BAD_REQUEST)?;
@@ -147,8 +166,30 @@
     // Without news in time, the answer says so.
     let _elapsed = timeout(wait, news(shared, &question)).await;
     let answer = tell_all(shared, &question, asked).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
-    let bytes = rmp_serde::to_vec(&answer);
-    bytes.map(Bytes::from).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+    let response = match pack::is_large(&answer.news) {
+        true => packed(shared, &answer),
+        false => rmp_serde::to_vec(&answer).map(whole).map_err(pack::Error::from),
+    };
+    response.map_err(|error| {
+        let reason = error.to_string();
+        shared.journal.note(&Event::Lost {
+            dependency: "relay",
+            kind: Kind::Instances,
+            reason: &reason,
+        });
+        StatusCode::INTERNAL_SERVER_ERROR
+    })
+}
+
+fn whole(bytes: Vec<u8>) -> Response<Full<Bytes>> {
+    Response::new(Full::new(Bytes::from(bytes)))
+}
+
+fn packed<P>(shared: &Shared<P>, answer: &Answer) -> Result<Response<Full<Bytes>>, pack::Error> {
+    let mut response = Response::new(Full::new(shared.packer.pack(&answer.news)?));
+    response.headers_mut().insert(AGE, answer.age_ms.into());
+    response.headers_mut().insert(HELD, answer.held_ms.into());
+    Ok(response)
 }
 
 /// What to tell, if this entry knows anything itself.
@@ -264,7 +305,11 @@
     let asked = shared.now();
     let since = {
         let mirror = shared.mirror();
-        KINDS.map(|kind| (kind, mirror.revision(kind))).to_vec()
+        let since = KINDS.map(|kind| (kind, mirror.revision(kind)));
+        // The configuration is needed first, and the list of instances takes longest.
+        let first = mirror.revision(Kind::Config).is_none();
+        let asked = since.into_iter().filter(|(kind, _)| !first || *kind != Kind::Instances);
+        asked.collect()
     };
     let question = Question { since, wait_ms: millis(wait) };
     let answer = ask(shared, reader, &question).await?;
@@ -301,14 +346,28 @@
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(http::header::HOST, host);
     }
-    let time = Duration::from_millis(u64::from(question.wait_ms)) + PATIENCE;
+    let lists = question.since.iter().any(|(_, since)| since.is_none());
+    let patience = if lists { LIST_PATIENCE } else { PATIENCE };
+    let time = Duration::from_millis(u64::from(question.wait_ms)) + patience;
     let response = shared.store.call(address, request, time, MAX_ANSWER).await?;
     match response.status() {
+        StatusCode::OK if response.headers().contains_key(AGE) => unpack(&response),
         StatusCode::OK => Ok(rmp_serde::from_slice(response.body())?),
         status => Err(Error::Status(status)),
     }
 }
 
+fn unpack(response: &Response<Bytes>) -> Result<Answer, Error> {
+    let millis = |name| {
+        let text = response.headers().get(name)?.to_str().ok()?;
+        text.parse().ok()
+    };
+    let (Some(age_ms), Some(held_ms)) = (millis(AGE), millis(HELD)) else {
+        return Err(Error::Ageless);
+    };
+    Ok(Answer { news: pack::unpack(response.body())?, age_ms, held_ms })
+}
+
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -21,6 +21,7 @@
 use crate::peers::{Neighbor, Peers};
 use crate::pool::{self, Pool};
 use crate::port::Entry;
+use crate::relay::pack::Packer;
 use crate::settings::Settings;
 use crate::wait::Waits;
 
@@ -63,6 +64,8 @@
     pub(crate) stopping: AtomicBool,
     /// What peers can read here has changed.
     pub(crate) mirrored: Notify,
+    /// Whole lists as peers get them.
+    pub(crate) packer: Packer,
     settings: ArcSwap<Settings>,
     mirror: Mutex<Mirror>,
     knowledge: Mutex<Knowledge>,
@@ -127,6 +130,7 @@
             peers: Peers::default(),
             stopping: AtomicBool::new(false),
             mirrored: Notify::new(),
+            packer: Packer::default(),
             mirror: Mutex::default(),
             knowledge: Mutex::default(),
             balance: Mutex::new(Balance::new(balance)),
