--- a/decision/src/gateway/balance.rs
+++ b/decision/src/gateway/balance.rs
@@ -6,6 +6,8 @@
 
 pub mod admission;
 mod ask;
+mod choose;
+mod learn;
 pub mod speed;
 mod target;
 mod track;
@@ -13,7 +15,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use rand::RngExt as _;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::SeedableRng;
 use slotmap::{SlotMap, new_key_type};
@@ -21,13 +22,12 @@
 pub use ask::{Ask, Choice, End, Forecast};
 pub use target::{Load, Part, Target};
 
-use crate::gateway::demand::{Demands, Ledger};
+use crate::gateway::demand::Ledger;
 use crate::gateway::engine::Engine;
-use crate::gateway::warmup;
 use crate::prelude::*;
-use admission::{Flow, Ranks, Room};
+use admission::Ranks;
 use speed::Norm;
-use track::{Estimate, Suspect, Track};
+use track::{Suspect, Track};
 
 new_key_type! {
     /// A target that a [`Balance`] knows.
@@ -90,16 +90,6 @@
     ranks: HashMap<Arc<str>, Ranks>,
 }
 
-/// A target that has room for a request.
-#[derive(Clone, Copy)]
-struct Open {
-    key: Key,
-    cost: f64,
-    /// Places for requests like it, those included that end before peers hear of it.
-    places: f64,
-    forecast: Forecast,
-}
-
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
@@ -223,103 +213,6 @@
         keys.iter().any(|it| self.tracks.get(*it).is_some_and(|it| it.suspect.is_none()))
     }
 
-    /// Picks a target for a request to `service` and counts it there.
-    pub fn choose(&mut self, now: Time, service: &str, ask: &Ask) -> Choice {
-        let Some(pool) = self.pools.get_mut(service) else { return Choice::None };
-        let terms = &self.settings.admission;
-        let (norm, above) = pool.norm(now, ask, terms);
-        let lag = self.settings.lag;
-        let arrivals =
-            ask.model.as_ref().map(|it| self.demand.of(now, tag(it))).unwrap_or_default();
-        let mut in_time: Vec<Open> = Vec::with_capacity(pool.keys.len());
-        let mut late: Vec<Open> = Vec::new();
-        let mut soonest = f64::INFINITY;
-        let mut some = false;
-        for key in &pool.keys {
-            let Some(track) = self.tracks.get_mut(*key) else { continue };
-            if !track.serves(ask) || ask.avoid.contains(key) {
-                continue;
-            }
-            some = true;
-            if let Some(until) = track.rest_until.filter(|it| *it > now) {
-                soonest = soonest.min(until.since(now).as_secs_f64() * 1_000.0);
-                continue;
-            }
-            let cold = track.cold_until > now;
-            if cold {
-                let own = self.settings.own;
-                let share = warmup::share(pool.warmup_rate, track.hash, own, &self.entries);
-                if !track.limiter.has_room(now, share) {
-                    soonest = soonest.min(100.0);
-                    continue;
-                }
-            }
-            if !track.may_try(now) {
-                soonest = soonest.min(200.0);
-                continue;
-            }
-            let estimate = track.estimate(now, (&pool.engine, &norm), &self.settings, ask);
-            let left = ask.objective.saturating_sub(terms.way).as_secs_f64() * 1_000.0;
-            let prospect = estimate.prospect(track.target.slots, left);
-            let room = match ask.urgent {
-                true => Room::InTime(1.0),
-                false => admission::room(&prospect, above, terms),
-            };
-            match room {
-                Room::InTime(places) => in_time.push(Open::new(*key, &estimate, places, lag)),
-                Room::Late(places) => late.push(Open::new(*key, &estimate, places, lag)),
-                Room::None => soonest = soonest.min(estimate.slot_ms),
-            }
-        }
-        let flow = Flow { arrivals: arrivals.requests * lag.as_secs_f64(), targets: in_time.len() };
-        let open = if in_time.is_empty() { late } else { in_time };
-        let places = open.iter().map(|it| it.places).sum();
-        let fits = ask.urgent || flow.fits(places, ask.draw);
-        let best = if fits { self.best(open, &flow) } else { None };
-        let Some(Open { key, forecast, .. }) = best else {
-            return match some {
-                true => Choice::Busy(Duration::from_secs_f64(soonest.min(5_000.0) / 1_000.0)),
-                false => Choice::None,
-            };
-        };
-        self.begin(now, key, ask);
-        Choice::Send(key, forecast)
-    }
-
-    /// The cheapest of a few picked at random, so that entries don't all pick the same. Those with
-    /// more room are picked more often.
-    fn best(&mut self, mut open: Vec<Open>, flow: &Flow) -> Option<Open> {
-        let compared = flow.compared(self.settings.compared).min(open.len());
-        for place in 0..compared {
-            let rest = &open[place..];
-            let all: f64 = rest.iter().map(|it| it.places).sum();
-            let mut draw = self.random.random::<f64>() * all;
-            let drawn = rest.iter().position(|it| {
-                draw -= it.places;
-                draw < 0.0
-            });
-            open.swap(place, place + drawn.unwrap_or_default());
-        }
-        let sample = open.into_iter().take(compared);
-        sample.min_by(|a, b| a.cost.total_cmp(&b.cost))
-    }
-
-    fn begin(&mut self, now: Time, key: Key, ask: &Ask) {
-        let trial_limit = self.settings.trial_limit;
-        let Some(track) = self.tracks.get_mut(key) else { return };
-        if track.own.running == 0 {
-            track.heard = now;
-            track.writing = false;
-        }
-        track.own.running += 1;
-        track.own.prefill = track.own.prefill.saturating_add(small(ask.prompt));
-        track.limiter.sent(now);
-        if let Some(suspect) = &mut track.suspect {
-            suspect.pause = (suspect.pause * 2).min(trial_limit);
-            suspect.trial_at = now + suspect.pause;
-        }
-    }
-
     /// Notes that the target has read `prompt` tokens: its first token for a request came.
     pub fn first(&mut self, key: Key, prompt: u64) {
         if let Some(track) = self.tracks.get_mut(key) {
@@ -327,78 +220,6 @@
         }
     }
 
-    /// Learns from a first token that came `took` after it was sent for.
-    pub fn started(&mut self, key: Key, forecast: &Forecast, took: Duration) {
-        let Some(norm) = self.norm_mut(key).filter(|_| forecast.usual) else { return };
-        norm.started(forecast.load_ms, took.as_secs_f64() * 1_000.0);
-    }
-
-    /// Learns from the pause between two events of a stream.
-    pub fn passed(&mut self, now: Time, key: Key, took: Duration) {
-        let Some(track) = self.tracks.get_mut(key) else { return };
-        let Some(pool) = self.pools.get_mut(&track.service) else { return };
-        let Some(model) = &track.target.model else { return };
-        let expected = pool.engine.pass_ms(track.target.pace, track.load(now).running);
-        let norm = pool.norms.entry(model.clone()).or_default();
-        track.own_slowness.passed(now, norm, expected, took.as_secs_f64() * 1_000.0);
-    }
-
-    /// How many times slower a target is than others of its model.
-    pub fn slowness(&self, now: Time, key: Key) -> f64 {
-        self.tracks.get(key).map_or(1.0, |it| it.slowness(now))
-    }
-
-    /// Counts a request of a caller, wherever it will be placed, if at all.
-    pub fn asked(&mut self, now: Time, service: &str, ask: &Ask) {
-        let Some(pool) = self.pools.get_mut(service) else { return };
-        let Some(model) = ask.model.as_ref().and_then(|it| pool.engine.model(it)) else { return };
-        let name = model.name.clone();
-        let norm = pool.norms.entry(name.clone()).or_default();
-        norm.asked(ask.prompt);
-        let norm = *norm;
-        let Some(model) = pool.engine.model(&name) else { return };
-        let work = pool.engine.work_ms(model.pace, ask.prompt, norm.length());
-        let work = Duration::try_from_secs_f64(work / 1_000.0).unwrap_or_default();
-        self.demand.ask(now, tag(&model.name), work);
-    }
-
-    /// Counts a request for `model` that was refused or late.
-    pub fn missed(&mut self, now: Time, service: &str, model: &str) {
-        let known = self.pools.get(service).is_some_and(|it| it.engine.model(model).is_some());
-        if known {
-            self.demand.miss(now, tag(model));
-        }
-    }
-
-    /// What is asked for at all entries.
-    pub fn demand(&self) -> &Ledger {
-        &self.demand
-    }
-
-    /// Takes what the peer `from` says is asked for elsewhere.
-    pub fn hear_demand(&mut self, now: Time, from: u64, demands: Demands) {
-        self.demand.hear(now, from, demands);
-    }
-
-    /// Says how old what peers tell is, on average.
-    pub fn lag(&mut self, lag: Duration) {
-        self.settings.lag = lag;
-    }
-
-    /// Learns from an answer that ended after so many passes.
-    pub fn answered(&mut self, key: Key, passes: u32) {
-        if let Some(norm) = self.norm_mut(key) {
-            norm.ended(passes);
-        }
-    }
-
-    fn norm_mut(&mut self, key: Key) -> Option<&mut Norm> {
-        let track = self.tracks.get(key)?;
-        let model = track.target.model.clone()?;
-        let pool = self.pools.get_mut(&track.service)?;
-        Some(pool.norms.entry(model).or_default())
-    }
-
     /// Leaves a target alone until then, since it asked for that.
     pub fn rest(&mut self, key: Key, until: Time) {
         let Some(track) = self.tracks.get_mut(key) else { return };
@@ -550,20 +371,6 @@
     }
 }
 
-impl Open {
-    fn new(key: Key, estimate: &Estimate, places: f64, lag: Duration) -> Open {
-        let ending = f64::from(estimate.running) * lag.as_secs_f64() * 1_000.0;
-        let places = places + ending / estimate.whole_ms.max(1.0);
-        let Estimate { load_ms, first_ms, slowness, running, usual, cost, .. } = *estimate;
-        Open {
-            key,
-            cost,
-            places,
-            forecast: Forecast { load_ms, first_ms, slowness, running, usual },
-        }
-    }
-}
-
 /// The hash of a name.
 pub fn hash(id: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64(id.as_bytes())
