Wait no longer for whole lists than for changes

Cause, by reading: since a question that asks for any whole list was waited on for 6 s longer, also to a reader that had been cut off, and all kinds go in one question, so that the configuration waited, too. The wait is what it was before; packing and the order of questions stay.

--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -59,9 +59,6 @@
 /// Time beyond its own wait after which a question is given up.
 const PATIENCE: Duration = Duration::from_millis(300);
 
-/// The same if whole lists are asked for, as many entries may at the same time.
-const LIST_PATIENCE: Duration = Duration::from_secs(6);
-
 /// Headers of an answer whose news are packed: its age and how long the question was held, in
 /// milliseconds.
 const AGE: &str = "age-ms";
@@ -346,9 +343,7 @@
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(http::header::HOST, host);
     }
-    let lists = question.since.iter().any(|(_, since)| since.is_none());
-    let patience = if lists { LIST_PATIENCE } else { PATIENCE };
-    let time = Duration::from_millis(u64::from(question.wait_ms)) + patience;
+    let time = Duration::from_millis(u64::from(question.wait_ms)) + PATIENCE;
     let response = shared.store.call(address, request, time, MAX_ANSWER).await?;
     match response.status() {
         StatusCode::OK if response.headers().contains_key(AGE) => unpack(&response),
