Decide eras of the store, and what is held after a restore

Cause: no code knew that the store may come back from an older copy. Revisions were compared alone.

Instances get the count that they state with each registration; peers send it apart, as earlier builds decode instances as arrays of fixed length.

--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -10,6 +10,8 @@
 //! | May it be retried? | [`budget::Budget`] |
 //! | May it be sent to a target that is still warming up? | [`warmup::Limiter`] |
 //! | Which entry takes over the replicas next? | [`candidate::takeover_delay`] |
+//! | Which era of the store does a response belong to? | [`era::Tracker`] |
+//! | Which objects stay in force after the store was restored? | [`hold::Holds`] |
 //! | Which replicas to form, repair or end, where to stage weights? | [`formation::Formation`] |
 
 pub mod allotment;
@@ -20,8 +22,10 @@
 pub mod config;
 pub mod demand;
 pub mod engine;
+pub mod era;
 pub mod exchange;
 pub mod fleet;
 pub mod formation;
+pub mod hold;
 pub mod route;
 pub mod warmup;
--- a/decision/src/gateway/fleet.rs
+++ b/decision/src/gateway/fleet.rs
@@ -36,6 +36,10 @@
     pub member: Option<Member>,
     /// Identifier of this start of the instance; changes with each restart.
     pub incarnation: u64,
+    /// Count of its registrations since its start, if it states one. Peers send it apart from the
+    /// instance, which older builds decode as an array of fixed length.
+    #[serde(skip)]
+    pub sequence: Option<u64>,
 }
 
 /// Whether an instance accepts new work.
--- a/decision/tests/gateway/support.rs
+++ b/decision/tests/gateway/support.rs
@@ -65,6 +65,7 @@
         model: None,
         member: None,
         incarnation: 1,
+        sequence: None,
     }
 }
 
