--- a/gateway/src/apply.rs
+++ b/gateway/src/apply.rs
@@ -3,12 +3,13 @@
 
 use std::sync::Arc;
 
+use decision::gateway::era::{Era, Version};
 use decision::gateway::fleet::Change;
 use decision::gateway::route::Table;
 use decision::prelude::*;
 
 use crate::journal::Event;
-use crate::mirror::{Mirror, Outdated};
+use crate::mirror::{Held, Mirror, Outdated};
 use crate::port::{Changes, Entry, Item, Kind, Object};
 use crate::state::{Knowledge, Shared};
 
@@ -16,13 +17,20 @@
 pub(crate) fn list<P>(
     shared: &Shared<P>,
     kind: Kind,
-    revision: u64,
+    version: Version,
     confirmed_at: Time,
     items: &[Item],
 ) {
     let mut mirror = shared.mirror();
-    match mirror.apply_list(kind, revision, confirmed_at, items) {
-        Ok(new_changes) => apply(shared, &mirror, kind, new_changes),
+    let before = mirror.version(kind);
+    let is_restored = before.era < version.era && mirror.confirmed_at(kind).is_some();
+    match mirror.apply_list(kind, version, confirmed_at, items, shared.hold_until()) {
+        Ok(new_changes) => {
+            if is_restored {
+                report_held(shared, kind, version, before, mirror.held_count(kind));
+            }
+            apply(shared, &mirror, kind, new_changes);
+        }
         Err(outdated) => report_outdated(shared, kind, outdated),
     }
     drop(mirror);
@@ -30,15 +38,43 @@
 }
 
 /// Applies changes of the objects of a kind, which were complete at `confirmed_at`.
-pub(crate) fn changes<P>(shared: &Shared<P>, kind: Kind, confirmed_at: Time, changes: &Changes) {
+pub(crate) fn changes<P>(
+    shared: &Shared<P>,
+    kind: Kind,
+    era: Era,
+    confirmed_at: Time,
+    changes: &Changes,
+) {
     let mut mirror = shared.mirror();
-    match mirror.apply_changes(kind, confirmed_at, changes) {
+    match mirror.apply_changes(kind, era, confirmed_at, changes) {
         Ok(new_changes) => apply(shared, &mirror, kind, new_changes),
         Err(_) if changes.is_empty() => {}
         Err(outdated) => report_outdated(shared, kind, outdated),
     }
 }
 
+/// Holds objects that peers know better than the store.
+pub(crate) fn adopt<P>(shared: &Shared<P>, held: Held) -> bool {
+    let kind = held.kind;
+    let mut mirror = shared.mirror();
+    let new_changes = mirror.adopt(shared.now(), held, shared.hold_until());
+    let is_new = !new_changes.is_empty();
+    apply(shared, &mirror, kind, new_changes);
+    is_new
+}
+
+/// Puts the stored states of objects in force whose holds have expired.
+pub(crate) fn expire_holds<P>(shared: &Shared<P>) {
+    let mut mirror = shared.mirror();
+    for (kind, new_changes) in mirror.expire_holds(shared.now()) {
+        let objects = new_changes.put.len() + new_changes.gone.len();
+        shared.journal.note(&Event::HoldExpired { kind, objects });
+        let labels = format!("kind=\"{}\"", label(kind));
+        shared.metrics.add("rhubarblatch_holds_expired_total", &labels, objects as u64);
+        apply(shared, &mirror, kind, new_changes);
+    }
+}
+
 /// Applies what is new of a kind. The objects and the times of their confirmation both come from
 /// the mirror, so that they can't disagree.
 fn apply<P>(shared: &Shared<P>, mirror: &Mirror, kind: Kind, new_changes: Changes) {
@@ -51,7 +87,8 @@
     match kind {
         Kind::Config => {
             drop(knowledge);
-            return new_changes.put.into_iter().for_each(|it| apply_config(shared, it));
+            let era = mirror.version(kind).era;
+            return new_changes.put.into_iter().for_each(|it| apply_config(shared, era, it));
         }
         Kind::Instances => {
             let changes = new_changes.put.into_iter().map(instance_change);
@@ -84,17 +121,25 @@
     }
 }
 
-/// Puts a configuration in force, unless one of the same or a later version is.
-fn apply_config<P>(shared: &Shared<P>, item: Item) {
+/// Puts a configuration in force, unless one of the same or a later version is. In a later era, a
+/// lower version comes into force too: it gets here only after the known one was held.
+fn apply_config<P>(shared: &Shared<P>, era: Era, item: Item) {
     let Object::Config(config) = item.object else { return };
     let mut knowledge = shared.knowledge();
-    if config.version <= knowledge.table.version() {
+    let is_later_era = knowledge.config_era < era;
+    let known = knowledge.table.version();
+    if config.version < known && !is_later_era {
+        return;
+    }
+    knowledge.config_era = era;
+    if config.version == known {
         return;
     }
     knowledge.table = Arc::new(Table::new(&config));
     drop(knowledge);
     shared.journal.note(&Event::Configured {
         version: config.version,
+        era,
         routes: config.routes.len(),
         workspaces: config.workspaces.len(),
     });
@@ -111,11 +156,39 @@
 
 fn report_outdated<P>(shared: &Shared<P>, kind: Kind, outdated: Outdated) {
     let Outdated { received, known } = outdated;
-    shared.journal.note(&Event::Outdated { kind, told: received, known });
+    shared.journal.note(&Event::Outdated {
+        kind,
+        era: received.era,
+        told: received.revision,
+        known_era: known.era,
+        known: known.revision,
+    });
     let labels = format!("kind=\"{}\"", label(kind));
     shared.metrics.count("rhubarblatch_outdated_total", &labels);
 }
 
+/// Logs what is held after the first list of a new era.
+fn report_held<P>(
+    shared: &Shared<P>,
+    kind: Kind,
+    version: Version,
+    before: Version,
+    objects: usize,
+) {
+    let hold = shared.settings().bounds.restore_hold();
+    shared.journal.note(&Event::Held {
+        kind,
+        era: version.era,
+        revision: version.revision,
+        known_era: before.era,
+        known_revision: before.revision,
+        objects,
+        hold_ms: u64::try_from(hold.as_millis()).unwrap_or(u64::MAX),
+    });
+    let labels = format!("kind=\"{}\"", label(kind));
+    shared.metrics.add("rhubarblatch_held_objects_total", &labels, objects as u64);
+}
+
 fn label(kind: Kind) -> &'static str {
     match kind {
         Kind::Config => "config",
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -6,8 +6,11 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use decision::backoff::Backoff;
 use decision::gateway::balance::hash;
 use decision::prelude::*;
+use http::StatusCode;
+use serde_json::Value;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -17,10 +20,10 @@
 use crate::clock::Clock;
 use crate::error::Error;
 use crate::journal::{Event, Journal};
-use crate::port::{self, Condition, Entry, Kind, Platform};
+use crate::port::{self, Condition, Entry, Kind, Object, Platform};
 use crate::settings::{Listen, Settings};
 use crate::state::{Counts, Shared};
-use crate::{follow, intake, owner, peers, ready, relay, wait};
+use crate::{apply, follow, intake, owner, peers, ready, relay, wait};
 
 /// Time for which a stopping entry still accepts new connections: the platform checks its readiness
 /// once a second, and sends it no more connections after two failed checks.
@@ -38,15 +41,22 @@
 /// Interval of the maintenance task.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Delay between two attempts of an entry to register itself.
+/// Longest delay before the first new attempt of an entry to register itself.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(400);
 
+/// Longest delay between two attempts of an entry to register itself.
+const MAX_REGISTER_RETRY_DELAY: Duration = Duration::from_millis(1_600);
+
+/// Interval at which an entry checks whether it is still registered.
+const REGISTER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time without its registration after which an entry writes it again. The list of entries may be
+/// as old as the registration itself.
+const LOST_REGISTRATION_DELAY: Duration = Duration::from_millis(700);
+
 /// Timeout of a write to the store.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Largest response of the store to a write, in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 << 10;
-
 /// A running entry.
 pub struct Daemon<P> {
     shared: Arc<Shared<P>>,
@@ -195,38 +205,76 @@
     hash(instance) ^ rand::rng().random::<u64>()
 }
 
-/// Registers this entry in the store, so that peers find it. Retries until that succeeds.
+/// Keeps this entry registered in the store, so that peers find it. A restored store may have lost
+/// the registration; it is then written again.
 async fn register<P: Platform>(shared: Arc<Shared<P>>) {
     let settings = shared.settings();
-    let (store, name) = (settings.store, settings.instance.as_str());
-    let failure_domain = settings.failure_domain.clone();
-    let millicores = settings.millicores();
-    let entry = Entry { address: settings.listen.peers, failure_domain, millicores };
+    let name = settings.instance.as_str();
+    let entry = Entry {
+        address: settings.listen.peers,
+        failure_domain: settings.failure_domain.clone(),
+        millicores: settings.millicores(),
+    };
     let Ok(value) = serde_json::to_value(&entry) else { return };
+    loop {
+        write_registration(&shared, name, &value).await;
+        wait_until_lost(&shared, name, &entry).await;
+        shared.journal.note(&Event::Unregistered { era: shared.era() });
+    }
+}
+
+/// Writes the registration. Retries until that succeeds.
+async fn write_registration<P: Platform>(shared: &Shared<P>, name: &str, value: &Value) {
+    let store = shared.settings().store;
+    let backoff = Backoff { first: REGISTER_RETRY_DELAY, limit: MAX_REGISTER_RETRY_DELAY };
     let mut condition = Condition::Absent;
+    let mut failures = 0;
     loop {
         let write = port::Write { kind: Kind::Entries, name, condition, value: value.clone() };
         let put = shared.platform.put(store, &write);
-        match shared.store.call(store, put, STORE_TIMEOUT, MAX_RESPONSE_BYTES).await {
-            Ok(answer) if answer.status().is_success() => return,
-            Ok(answer) if owner::already_exists(answer.status()) => {
+        match follow::write_store(shared, put, STORE_TIMEOUT).await {
+            Ok(reply) if reply.status.is_success() => return,
+            Ok(reply) if reply.status == StatusCode::CONFLICT => {
                 condition = Condition::Exists;
                 continue;
             }
             Ok(_) => condition = Condition::Absent,
             Err(_) => {}
         }
-        sleep(REGISTER_RETRY_DELAY).await;
+        failures += 1;
+        sleep(backoff.delay(failures, hash(name))).await;
+    }
+}
+
+/// Waits until the list of entries lacks this one or shows it with other values, for as long as a
+/// reader may lag behind.
+async fn wait_until_lost<P: Platform>(shared: &Shared<P>, name: &str, entry: &Entry) {
+    let mut lost_since = None;
+    loop {
+        sleep(REGISTER_CHECK_INTERVAL).await;
+        let is_stored = match shared.mirror().stored(Kind::Entries, name).map(|it| &it.object) {
+            Some(Object::Entry(stored)) => stored == entry,
+            _ => false,
+        };
+        if is_stored || !shared.is_store_up() {
+            lost_since = None;
+            continue;
+        }
+        let since = *lost_since.get_or_insert(shared.now());
+        if shared.now().since(since) >= LOST_REGISTRATION_DELAY {
+            return;
+        }
     }
 }
 
-/// Periodically drops expired instances and connections to unknown ones, and logs changed numbers
+/// Periodically ends holds whose time is over, drops expired instances and connections to unknown ones, and logs changed numbers
 /// of replicas.
 async fn maintain<P: Platform>(shared: Arc<Shared<P>>) {
     let mut reported = Counts::new();
     loop {
         sleep(MAINTENANCE_INTERVAL).await;
         shared.expire_instances();
+        apply::expire_holds(&shared);
         shared.report_replica_counts(&mut reported);
         let addresses: std::collections::HashSet<SocketAddr> =
             shared.knowledge().fleet.iter().map(|it| it.address).collect();
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -7,18 +7,20 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
 use decision::backoff::Backoff;
 use decision::gateway::balance::hash;
+use decision::gateway::era::{Era, Observation, Version};
 use decision::prelude::*;
-use http::StatusCode;
+use http::{HeaderMap, StatusCode};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::error::Call;
 use crate::journal::Event;
-use crate::port::{Changes, Kind, Malformed, Platform};
+use crate::port::{Changes, Kind, Malformed, Outgoing, Platform};
 use crate::state::Shared;
-use crate::{apply, relay};
+use crate::{apply, inform, relay};
 
 /// Largest response of the store, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -92,6 +94,22 @@
     /// The follower of the configuration found the store unreachable.
     #[error("the store does not answer requests for the configuration")]
     StoreDown,
+    /// The store states a later era for the first time; the next response must state it too.
+    #[error("the store states era {0}, which no other response has confirmed yet")]
+    EraUnconfirmed(Era),
+    /// The response is of an earlier era than the known one.
+    #[error("the store answered of the earlier era {0}")]
+    EraOutdated(Era),
+    /// The store was restored while its objects were read page by page.
+    #[error("the store was restored between two pages of a list")]
+    EraChanged,
+}
+
+/// Response of the store, of the known era.
+pub(crate) struct Reply {
+    pub(crate) status: StatusCode,
+    pub(crate) era: Era,
+    pub(crate) body: Bytes,
 }
 
 /// Follows all kinds of objects until the process ends.
@@ -117,6 +135,7 @@
         follow(evacuations).run(Role::Waiter(reachable.clone())),
         follow(entries).run(Role::Waiter(reachable)),
         relay::follow(shared.clone(), source_sender),
+        inform::run(shared.clone()),
     );
 }
 
@@ -167,33 +186,40 @@
     /// Lists the kind if needed, then watches it. Returns after a failed list, or once the store no
     /// longer has the changes after the known revision.
     async fn follow(&mut self, role: &mut Role) {
-        let known_revision = self.shared.mirror().watch_revision(self.kind);
-        let mut revision = match known_revision {
-            Some(revision) => revision,
+        let known_version = self.shared.mirror().watch_version(self.kind);
+        let Version { era, mut revision } = match known_version {
+            Some(version) => version,
             None => match fetch_list(&self.shared, self.kind).await {
-                Ok(revision) => revision,
+                Ok(version) => version,
                 Err(error) => return self.handle_failure(role, &error).await,
             },
         };
+        let mut known_era = self.shared.era.subscribe();
         let mut wait = FIRST_WATCH_TIMEOUT;
-        if known_revision.is_none() {
+        let mut has_watched = false;
+        if known_version.is_none() {
+            let failures = self.failures;
             self.handle_success(role);
+            // Until a watch succeeds too, failed ones count on.
+            self.failures = failures;
             wait = self.watch_timeout();
             // The list of entries is what the choice of a reader waits for.
             drop(self.source.wait_for(|it| *it != Source::Unknown).await);
         }
         loop {
             let requested_at = self.shared.now();
-            let changes = match role {
-                Role::Prober(_) => self.fetch_changes(revision, wait).await,
-                Role::Waiter(reachable) => tokio::select! {
-                    changes = self.fetch_changes(revision, wait) => changes,
-                    // A request that was sent before an outage may never be answered.
-                    error = store_down(reachable) => Err(error),
-                },
+            let changes = tokio::select! {
+                biased;
+                // What the store answers next doesn't follow on the known revision.
+                () = era_changed(&mut known_era, era) => return,
+                changes = self.fetch_changes(revision, wait) => changes,
+                // A request that was sent before an outage may never be answered.
+                error = store_down(role) => Err(error),
             };
             match changes {
-                Ok(changes) => {
+                Ok((changes_era, _)) if changes_era != era => return,
+                Ok((_, changes)) => {
+                    has_watched = true;
                     self.handle_success(role);
                     revision = changes.revision;
                     let has_changes = !changes.is_empty();
@@ -205,13 +231,20 @@
                     } else {
                         wait_end
                     };
-                    apply::changes(&self.shared, self.kind, confirmed_at, &changes);
+                    apply::changes(&self.shared, self.kind, era, confirmed_at, &changes);
                     if has_changes {
                         sleep(self.watch_delay()).await;
                     }
                 }
                 Err(Error::Status(StatusCode::GONE)) => {
-                    return self.shared.mirror().require_list(self.kind);
+                    self.shared.mirror().require_list(self.kind);
+                    if known_version.is_none() && !has_watched {
+                        // A store that rejects even the revision of its last list isn't asked in
+                        // a loop.
+                        self.failures += 1;
+                        sleep(self.retry_delay()).await;
+                    }
+                    return;
                 }
                 Err(error) => {
                     wait = FIRST_WATCH_TIMEOUT;
@@ -221,11 +254,12 @@
         }
     }
 
-    async fn fetch_changes(&self, revision: u64, wait: Duration) -> Result<Changes, Error> {
+    /// Requests the changes after a revision. Returns them with the era of the response.
+    async fn fetch_changes(&self, revision: u64, wait: Duration) -> Result<(Era, Changes), Error> {
         let store = self.shared.settings().store;
         let request = self.shared.platform.watch(store, self.kind, revision, wait);
-        let body = call_store(&self.shared, request, wait + CALL_TIMEOUT_MARGIN).await?;
-        Ok(self.shared.platform.changes(self.kind, &body)?)
+        let reply = call_store(&self.shared, request, wait + CALL_TIMEOUT_MARGIN).await?;
+        Ok((reply.era, self.shared.platform.changes(self.kind, &reply.body)?))
     }
 
     fn watch_timeout(&self) -> Duration {
@@ -254,8 +288,7 @@
             let event = Event::Lost { dependency: "store", kind: self.kind, reason: &reason };
             self.shared.journal.note(&event);
         }
-        let seed = hash(&self.shared.settings().instance) ^ self.kind as u64;
-        let pause = self.backoff().delay(self.failures, seed);
+        let pause = self.retry_delay();
         match role {
             Role::Prober(reachable) => {
                 self.shared.store_up.store(false, Ordering::Relaxed);
@@ -270,6 +303,12 @@
         }
     }
 
+    /// Returns the delay before the next call after a failed one.
+    fn retry_delay(&self) -> Duration {
+        let seed = hash(&self.shared.settings().instance) ^ self.kind as u64;
+        self.backoff().delay(self.failures, seed)
+    }
+
     fn backoff(&self) -> Backoff {
         let [min, max] = MAX_RETRY_DELAY_BOUNDS;
         let domain = &self.shared.settings().failure_domain;
@@ -306,35 +345,55 @@
     }
 }
 
-/// Waits until the store is unreachable.
-async fn store_down(reachable: &mut watch::Receiver<bool>) -> Error {
-    // The follower that sends it outlives the wait, so the wait can't fail.
-    drop(reachable.wait_for(|it| !*it).await);
-    Error::StoreDown
+/// Waits until the store is unreachable. The follower that finds this out itself waits for ever.
+async fn store_down(role: &mut Role) -> Error {
+    match role {
+        Role::Prober(_) => std::future::pending().await,
+        Role::Waiter(reachable) => {
+            // The follower that sends it outlives the wait, so the wait can't fail.
+            drop(reachable.wait_for(|it| !*it).await);
+            Error::StoreDown
+        }
+    }
+}
+
+/// Waits until the known era is another one than `era`.
+async fn era_changed(known_era: &mut watch::Receiver<Era>, era: Era) {
+    // The sender is part of the shared state, so the wait can't fail.
+    drop(known_era.wait_for(|it| *it != era).await);
 }
 
-/// Lists all objects of a kind, page by page, and applies them. Returns the revision to watch from,
+/// Lists all objects of a kind, page by page, and applies them. Returns the version to watch from,
 /// which is that of the first page.
-async fn fetch_list<P: Platform>(shared: &Shared<P>, kind: Kind) -> Result<u64, Error> {
+async fn fetch_list<P: Platform>(shared: &Shared<P>, kind: Kind) -> Result<Version, Error> {
     let requested_at = shared.now();
+    let known = shared.mirror().version(kind);
     let mut items = Vec::new();
-    let mut first_revision = None;
+    let mut first: Option<Version> = None;
     let mut after: Option<Arc<str>> = None;
     loop {
         let store = shared.settings().store;
         let request = shared.platform.list(store, kind, after.as_deref());
-        let body = call_store(shared, request, CALL_TIMEOUT_MARGIN).await?;
-        let page = shared.platform.page(kind, &body)?;
-        first_revision.get_or_insert(page.revision);
+        let reply = call_store(shared, request, CALL_TIMEOUT_MARGIN).await?;
+        let page = shared.platform.page(kind, &reply.body)?;
+        let version = first.get_or_insert(Version { era: reply.era, revision: page.revision });
+        if version.era != reply.era {
+            return Err(Error::EraChanged);
+        }
         after = page.items.last().map(|it| it.name.clone());
         items.extend(page.items);
         if !page.more || after.is_none() {
             break;
         }
     }
-    let revision = first_revision.unwrap_or_default();
-    apply::list(shared, kind, revision, requested_at, &items);
-    Ok(revision)
+    let mut version = first.unwrap_or_default();
+    let observation = shared.mirror().observe_revision(known, version.revision);
+    if let Some(Observation::Restored { from, to }) = observation {
+        announce_era(shared, from, to, "revision");
+        version.era = to;
+    }
+    apply::list(shared, kind, version, requested_at, &items);
+    Ok(version)
 }
 
 /// Lists the instances again. Returns whether that succeeded.
@@ -354,12 +413,29 @@
 ///
 /// # Errors
 ///
-/// If the call fails, or the status of the response isn't a success.
+/// If the call fails, the status of the response isn't a success, or its era isn't the known one.
 pub(crate) async fn call_store<P: Platform>(
     shared: &Shared<P>,
-    request: crate::port::Outgoing,
+    request: Outgoing,
+    timeout: Duration,
+) -> Result<Reply, Error> {
+    let reply = write_store(shared, request, timeout).await?;
+    match reply.status.is_success() {
+        true => Ok(reply),
+        false => Err(Error::Status(reply.status)),
+    }
+}
+
+/// Calls the store as [`call_store`] does, and returns the response whatever its status.
+///
+/// # Errors
+///
+/// If the call fails, or the era of the response isn't the known one.
+pub(crate) async fn write_store<P: Platform>(
+    shared: &Shared<P>,
+    request: Outgoing,
     timeout: Duration,
-) -> Result<bytes::Bytes, Error> {
+) -> Result<Reply, Error> {
     let address = shared.settings().store;
     let response = shared.store.call(address, request, timeout, MAX_RESPONSE_BYTES).await;
     let status = match &response {
@@ -369,8 +445,44 @@
     let labels = format!("status=\"{status}\"");
     shared.metrics.count("rhubarblatch_store_calls_total", &labels);
     let response = response?;
-    match response.status().is_success() {
-        true => Ok(response.into_body()),
-        false => Err(Error::Status(response.status())),
+    let era = observe_era(shared, response.headers())?;
+    Ok(Reply { status: response.status(), era, body: response.into_body() })
+}
+
+/// Returns the era of a response of the store.
+fn observe_era<P: Platform>(shared: &Shared<P>, headers: &HeaderMap) -> Result<Era, Error> {
+    let stated = shared.platform.era(headers);
+    let was_stated = shared.is_era_stated.swap(matches!(stated, Ok(Some(_))), Ordering::Relaxed);
+    let reason = match &stated {
+        Ok(Some(_)) => None,
+        Ok(None) => Some("a response states no era".to_owned()),
+        Err(error) => Some(error.to_string()),
+    };
+    if let Some(reason) = reason.filter(|_| was_stated) {
+        shared.journal.note(&Event::EraMissing { era: shared.era(), reason: &reason });
     }
+    let observation = shared.mirror().observe_era(stated.ok().flatten());
+    match observation {
+        Observation::Current(era) => {
+            // The first response states an era that nothing was known of before.
+            shared.era.send_if_modified(|it| std::mem::replace(it, era) != era);
+            Ok(era)
+        }
+        Observation::Restored { from, to } => {
+            announce_era(shared, from, to, "store");
+            Ok(to)
+        }
+        Observation::Unconfirmed(era) => Err(Error::EraUnconfirmed(era)),
+        Observation::Outdated(era) => Err(Error::EraOutdated(era)),
+    }
+}
+
+/// Logs that the store was restored, and lets all kinds be listed again. `source` names what showed
+/// it.
+pub(crate) fn announce_era<P>(shared: &Shared<P>, from: Era, to: Era, source: &str) {
+    shared.journal.note(&Event::Restored { from, to, source });
+    shared.metrics.count("rhubarblatch_store_restores_total", "");
+    shared.era.send_replace(to);
+    shared.mirror_changed.notify_waiters();
+    shared.fleet_changed.notify_waiters();
 }
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -241,6 +241,7 @@
         route: "",
         status: refusal.status.as_u16(),
         reason: refusal.reason,
+        era: shared.era(),
         config,
         config_age_ms: millis(age),
         waited_ms: 0,
--- a/gateway/src/journal.rs
+++ b/gateway/src/journal.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use decision::clock::Time;
+use decision::gateway::era::Era;
 use serde::Serialize;
 
 use crate::clock::Clock;
@@ -43,9 +44,29 @@
     /// The store, or one kind of its objects, can be read again.
     Regained { dependency: &'a str, kind: Kind, after_ms: u64 },
     /// A list or change older than the known one was received and ignored.
-    Outdated { kind: Kind, told: u64, known: u64 },
+    Outdated { kind: Kind, era: Era, told: u64, known_era: Era, known: u64 },
+    /// The store was restored from an older copy and states a new era.
+    Restored { from: Era, to: Era, source: &'a str },
+    /// The store doesn't state its era, or not readably; its responses count as of the known era.
+    EraMissing { era: Era, reason: &'a str },
+    /// Objects of a kind are held, since the restored store has older states of them or none.
+    Held {
+        kind: Kind,
+        era: Era,
+        revision: u64,
+        known_era: Era,
+        known_revision: u64,
+        objects: usize,
+        hold_ms: u64,
+    },
+    /// The store has lost this entry's registration, which is written again.
+    Unregistered { era: Era },
+    /// Objects that this entry holds because its peers know them better than the store.
+    Informed { peers: usize, objects: usize },
+    /// The time limit of held objects has passed; the stored states come into force.
+    HoldExpired { kind: Kind, objects: usize },
     /// A configuration came into force at this entry.
-    Configured { version: u64, routes: usize, workspaces: usize },
+    Configured { version: u64, era: Era, routes: usize, workspaces: usize },
     /// The number of targets that may get requests has changed.
     Replicas { service: &'a str, model: &'a str, serving: usize, instances: usize },
     /// A request was refused and has not run.
@@ -54,6 +75,7 @@
         route: &'a str,
         status: u16,
         reason: &'a str,
+        era: Era,
         config: u64,
         config_age_ms: u64,
         waited_ms: u64,
@@ -110,7 +132,7 @@
     /// An instance can't be reached.
     Unreachable { instance: &'a str, reason: &'a str },
     /// The lease on the replicas was won.
-    Won { fence: u64 },
+    Won { fence: u64, era: Era },
     /// The lease on the replicas was lost or given up.
     Yielded { fence: u64, reason: &'a str },
     /// An order was given to an instance.
@@ -119,6 +141,7 @@
         order: &'a str,
         group: &'a str,
         fence: u64,
+        era: Era,
         list_age_ms: u64,
         result: &'a str,
     },
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! | --- | --- |
 //! | `intake`, `routing`, `request`, `slot`, `call`, `stream`, `refusal` | handling of callers' requests |
 //! | `follow`, `relay`, [`mirror`], `apply` | objects of the store, read from it or from a peer |
+//! | `inform` | what peers know better than a store that was restored |
 //! | `owner`, `order` | orders to instances, given by one entry at a time |
 //! | `peers` | state that entries exchange |
 //! | [`pool`] | connections to targets and to the store |
@@ -20,6 +21,7 @@
 pub mod daemon;
 pub mod error;
 mod follow;
+mod inform;
 mod intake;
 mod journal;
 mod lease;
--- a/gateway/src/metrics.rs
+++ b/gateway/src/metrics.rs
@@ -34,10 +34,15 @@
 impl Metrics {
     /// Increments the counter `name` with `labels`, which are written as in the text format.
     pub(crate) fn count(&self, name: &'static str, labels: &str) {
+        self.add(name, labels, 1);
+    }
+
+    /// Adds `amount` to the counter `name` with `labels`.
+    pub(crate) fn add(&self, name: &'static str, labels: &str, amount: u64) {
         let mut state = self.state();
         let has_room = state.counters.len() < MAX_SERIES;
         let key = (name, if has_room { labels.to_owned() } else { String::new() });
-        *state.counters.entry(key).or_default() += 1;
+        *state.counters.entry(key).or_default() += amount;
     }
 
     /// Adds `time` to the histogram `name` with `labels`.
--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -61,6 +61,7 @@
         order: name,
         group,
         fence,
+        era: shared.era(),
         list_age_ms,
         result: &result,
     });
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -10,10 +10,10 @@
 use std::sync::Arc;
 
 use decision::gateway::candidate::{self, Candidate};
+use decision::gateway::era::Era;
 use decision::gateway::fleet::{Instance, Presence};
 use decision::gateway::formation::{self, Action, Formation, Order, Reply};
 use decision::prelude::*;
-use http::StatusCode;
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::{sleep, timeout};
 
@@ -74,6 +74,8 @@
     incarnation: u64,
     /// Fencing token under which this entry owns the replicas, if it does.
     fence: Option<u64>,
+    /// Era of the store in which it acquired the lease.
+    era: Era,
     /// Fencing token of the lease when it was last read.
     known_fence: Option<u64>,
     formations: HashMap<Arc<str>, Formation>,
@@ -102,6 +104,7 @@
         shared: shared.clone(),
         incarnation,
         fence: None,
+        era: Era::default(),
         known_fence: None,
         formations: HashMap::new(),
         last_order_at: vacant_since,
@@ -141,6 +144,9 @@
         let other = self.shared.peers.owner_fence(now);
         match (self.fence, other) {
             (Some(own), Some(other)) if other > own => self.give_up("a peer reports a later owner"),
+            (Some(_), _) if self.shared.era() != self.era => {
+                self.give_up("the store was restored from an older copy")
+            }
             (Some(_), _) if self.is_stale(now) => self.give_up("a peer knows the instances better"),
             (Some(_), _) if self.is_stopping() => self.give_up("the process is stopping"),
             (Some(_), _) => self.plan(now),
@@ -189,17 +195,17 @@
     /// Takes the lease, unless its holder is alive or another entry takes it at the same time.
     async fn acquire(&mut self) {
         self.vacant_since = self.shared.now();
-        let held = match lease::read(&self.shared).await {
-            Ok(held) => held,
+        let reading = match lease::read(&self.shared).await {
+            Ok(reading) => reading,
             Err(error) => return self.report_lease_unreadable(&error),
         };
-        if held.as_ref().is_some_and(|it| self.defers_to(&it.object)) {
+        if reading.held.as_ref().is_some_and(|it| self.defers_to(&it.object)) {
             return;
         }
         // A new token also if this entry was the last holder: each term has its own epochs.
-        let fence = lease::next_fence(held.as_ref()).max(self.highest_fence() + 1);
-        if lease::try_acquire(&self.shared, held.as_ref(), fence, self.incarnation).await {
-            self.begin_term(fence).await;
+        let fence = lease::next_fence(&reading).max(self.highest_fence() + 1);
+        if lease::try_acquire(&self.shared, &reading, fence, self.incarnation).await {
+            self.begin_term(fence, reading.era).await;
         }
     }
 
@@ -220,9 +226,10 @@
             Confirmation::Idle => self.confirmation = Confirmation::Pending { is_retry: false },
         }
         let (shared, results) = (self.shared.clone(), self.results.clone());
+        let era = self.era;
         tokio::spawn(async move {
             let asked_at = shared.now();
-            let is_held = lease::is_held(&shared, fence).await;
+            let is_held = lease::is_held(&shared, era, fence).await;
             // The receiver is gone only when the process ends.
             let _sent = results.send(Result::Lease { fence, asked_at, is_held }).await;
         });
@@ -251,12 +258,17 @@
         }
     }
 
-    /// Returns the highest fencing token among the known replicas, or 0. It counts as the lease may
-    /// have been deleted from the store.
+    /// Returns the highest fencing token among the known replicas and of the owners that were heard
+    /// of, or 0. They count as the lease may have been lost from the store.
     fn highest_fence(&self) -> u64 {
+        let heard = self.shared.peers.highest_fence();
         let knowledge = self.shared.knowledge();
         let instances = knowledge.fleet.iter_with_presence(self.shared.now());
-        instances.filter_map(|(it, _)| formation::fence_of(&it)).max().unwrap_or_default()
+        instances
+            .filter_map(|(it, _)| formation::fence_of(&it))
+            .max()
+            .unwrap_or_default()
+            .max(heard)
     }
 
     /// Returns whether the holder of the lease is alive, or gets time to send its first datagram.
@@ -270,7 +282,7 @@
     /// Begins to own the replicas after a new list of the instances, which shows what the last
     /// owner did. Peers are told before that, so that none takes over meanwhile and an earlier
     /// owner stops.
-    async fn begin_term(&mut self, fence: u64) {
+    async fn begin_term(&mut self, fence: u64, era: Era) {
         self.shared.peers.set_own_fence(Some(fence));
         if !follow::relist_instances(&self.shared).await {
             // A peer that can list the instances may take the lease meanwhile.
@@ -278,12 +290,13 @@
             return self.shared.peers.set_own_fence(None);
         }
         self.fence = Some(fence);
+        self.era = era;
         // An owner that was never heard of may have given orders until now.
         let heard_at = self.shared.peers.owner_heard_at().unwrap_or(self.shared.now());
         self.last_order_at = self.last_order_at.max(heard_at);
         self.formations.clear();
         self.probes.clear();
-        self.shared.journal.note(&Event::Won { fence });
+        self.shared.journal.note(&Event::Won { fence, era });
     }
 
     /// Stops owning the replicas.
@@ -428,8 +441,3 @@
         });
     }
 }
-
-/// Returns whether a write was refused because the object already exists.
-pub(crate) fn already_exists(status: StatusCode) -> bool {
-    status == StatusCode::CONFLICT
-}
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -62,6 +62,8 @@
     own_fence: Option<u64>,
     /// When an owner was last heard of.
     owner_heard_at: Option<Time>,
+    /// The highest fencing token under which an owner was ever heard of.
+    highest_fence: u64,
     /// When an unreadable datagram was last logged.
     unreadable_logged_at: Option<Time>,
 }
@@ -112,7 +114,9 @@
 impl Peers {
     /// Sets the fencing token under which this entry owns the replicas; `None` if it doesn't.
     pub(crate) fn set_own_fence(&self, fence: Option<u64>) {
-        self.state().own_fence = fence;
+        let mut state = self.state();
+        state.own_fence = fence;
+        state.highest_fence = state.highest_fence.max(fence.unwrap_or_default());
     }
 
     /// Returns the fencing token under which this entry owns the replicas, if it does.
@@ -159,6 +163,13 @@
         state.owner_except_hub(now).max(reported)
     }
 
+    /// Returns the highest fencing token under which an owner was ever heard of, this entry
+    /// included; 0 without one.
+    pub(crate) fn highest_fence(&self) -> u64 {
+        let state = self.state();
+        state.highest_fence.max(state.own_fence.unwrap_or_default())
+    }
+
     /// Returns when an owner was last heard of.
     pub(crate) fn owner_heard_at(&self) -> Option<Time> {
         self.state().owner_heard_at
--- a/gateway/src/peers/receive.rs
+++ b/gateway/src/peers/receive.rs
@@ -169,8 +169,9 @@
     state.liveness.record_received(&from);
     let has_changed = state.hub_report.cluster.suspects != cluster.suspects;
     state.hub_report.heard_at = now;
-    if cluster.owner_fence.is_some() {
+    if let Some(fence) = cluster.owner_fence {
         state.owner_heard_at = Some(now);
+        state.highest_fence = state.highest_fence.max(fence);
     }
     state.hub_report.cluster = cluster;
     drop(state);
@@ -247,8 +248,9 @@
 
     /// Remembers when an owner was heard of, if one is known.
     fn note_owner(&mut self, now: Time) {
-        if self.owner_except_hub(now).is_some() {
+        if let Some(fence) = self.owner_except_hub(now) {
             self.owner_heard_at = Some(now);
+            self.highest_fence = self.highest_fence.max(fence);
         }
     }
 }
--- a/gateway/src/port.rs
+++ b/gateway/src/port.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use decision::gateway::config::Config;
+use decision::gateway::era::Era;
 use decision::gateway::fleet::{Instance, Report};
 use decision::gateway::formation::{Order, Reply};
 use decision::prelude::*;
@@ -76,6 +77,13 @@
     /// As for [`Platform::page`].
     fn changes(&self, kind: Kind, body: &[u8]) -> Result<Changes, Malformed>;
 
+    /// Parses the era that a response of the store states; `None` if it states none.
+    ///
+    /// # Errors
+    ///
+    /// If the era isn't a number.
+    fn era(&self, headers: &HeaderMap) -> Result<Option<Era>, Malformed>;
+
     /// Returns the path of the platform's readiness check.
     fn ready_path(&self) -> &'static str;
 }
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -12,8 +12,9 @@
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
+use decision::gateway::era::{Era, Observation, Version};
 use decision::prelude::*;
-use http::{Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -27,7 +28,7 @@
 use crate::error::Call;
 use crate::follow::{FOLLOWED_KINDS, Source};
 use crate::journal::Event;
-use crate::mirror::Update;
+use crate::mirror::{Held, Update};
 use crate::port::{Kind, Platform};
 use crate::state::Shared;
 use crate::{apply, follow};
@@ -45,6 +46,13 @@
 /// Longest time that a starting entry waits for a reader before it reads the store itself.
 const STARTUP_WAIT: Duration = Duration::from_millis(1_500);
 
+/// Header of queries and replies with the era of the store that the sender knows. Builds without it
+/// ignore it; a reply without it counts as one of the era that the query stated.
+const ERA_HEADER: &str = "era";
+
+/// Path at which an entry tells what it holds in place of the store's objects.
+const HELD_PATH: &str = "/held";
+
 /// Path of queries.
 const QUERY_PATH: &str = "/changes";
 
@@ -104,6 +112,9 @@
     /// The peer's objects are older than [`Bounds::max_relay_age`](crate::settings::Bounds::max_relay_age).
     #[error("objects of the peer are too old: {0:?}")]
     Stale(Duration),
+    /// The peer knows an earlier era of the store only.
+    #[error("the peer knows only the earlier era {0} of the store")]
+    EraOutdated(Era),
     /// The reply can't be decoded.
     #[error("reply of the peer cannot be decoded: {0}")]
     Decode(#[from] rmp_serde::decode::Error),
@@ -144,45 +155,72 @@
     shared: &Shared<P>,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
+    // A peer of a build without eras is served as if it knew this entry's one.
+    let era = stated_era(request.headers()).unwrap_or(shared.era());
     let result = match request.uri().path() {
-        QUERY_PATH => answer_query(shared, request.into_body()).await,
+        QUERY_PATH => answer_query(shared, era, request.into_body()).await,
+        HELD_PATH => held_response(shared, era),
         _ => Err(StatusCode::NOT_FOUND),
     };
-    match result {
-        Ok(response) => response,
-        Err(status) => {
-            let mut response = Response::new(Full::default());
-            *response.status_mut() = status;
-            response
-        }
-    }
+    let mut response = result.unwrap_or_else(|status| {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = status;
+        response
+    });
+    response.headers_mut().insert(ERA_HEADER, shared.era().0.into());
+    response
+}
+
+/// Returns the era that a query or a reply states, if it states one.
+fn stated_era(headers: &HeaderMap) -> Option<Era> {
+    headers.get(ERA_HEADER)?.to_str().ok()?.parse().ok().map(Era)
 }
 
 async fn answer_query<P: Platform>(
     shared: &Shared<P>,
+    era: Era,
     body: Incoming,
 ) -> Result<Response<Full<Bytes>>, StatusCode> {
     let body = Limited::new(body, MAX_QUERY_BYTES).collect().await;
     let body = body.map_err(|_| StatusCode::BAD_REQUEST)?.to_bytes();
     let query: Query = rmp_serde::from_slice(&body).map_err(|_| StatusCode::BAD_REQUEST)?;
+    if era > shared.era() {
+        // The peer has seen the restored store, and this entry hasn't.
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    }
     let received_at = shared.now();
     let hold = Duration::from_millis(u64::from(query.wait_ms)).min(MAX_HOLD);
     // Without an update in time, the reply contains none.
-    let _elapsed = timeout(hold, wait_for_update(shared, &query)).await;
-    let reply = reply(shared, &query, received_at).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
+    let _elapsed = timeout(hold, wait_for_update(shared, era, &query)).await;
+    let reply = reply(shared, era, &query, received_at).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
     let response = match pack::is_large(&reply.updates) {
         true => packed_response(shared, &reply),
-        false => rmp_serde::to_vec(&reply).map(plain_response).map_err(pack::Error::from),
+        false => encode_reply(&reply).map(plain_response),
     };
-    response.map_err(|error| {
-        let reason = error.to_string();
-        shared.journal.note(&Event::Lost {
-            dependency: "relay",
-            kind: Kind::Instances,
-            reason: &reason,
-        });
-        StatusCode::INTERNAL_SERVER_ERROR
-    })
+    response.map_err(|error| report_encoding(shared, &error))
+}
+
+/// Encodes a reply, followed by what builds without it ignore.
+fn encode_reply(reply: &Reply) -> Result<Vec<u8>, pack::Error> {
+    let mut bytes = rmp_serde::to_vec(reply)?;
+    pack::append_sequences(&mut bytes, &reply.updates)?;
+    Ok(bytes)
+}
+
+/// Returns what this entry holds, for a peer that starts and knows `era`.
+fn held_response<P>(shared: &Shared<P>, era: Era) -> Result<Response<Full<Bytes>>, StatusCode> {
+    let hold = shared.settings().bounds.restore_hold();
+    let held = shared.mirror().held(shared.now(), era, hold);
+    let bytes = rmp_serde::to_vec(&held).map_err(pack::Error::from);
+    bytes.map(plain_response).map_err(|error| report_encoding(shared, &error))
+}
+
+/// Logs that a reply can't be encoded.
+fn report_encoding<P>(shared: &Shared<P>, error: &pack::Error) -> StatusCode {
+    let reason = error.to_string();
+    let event = Event::Lost { dependency: "relay", kind: Kind::Instances, reason: &reason };
+    shared.journal.note(&event);
+    StatusCode::INTERNAL_SERVER_ERROR
 }
 
 fn plain_response(bytes: Vec<u8>) -> Response<Full<Bytes>> {
@@ -193,18 +231,19 @@
     shared: &Shared<P>,
     reply: &Reply,
 ) -> Result<Response<Full<Bytes>>, pack::Error> {
-    let mut response = Response::new(Full::new(shared.packer.pack(&reply.updates)?));
+    let packed = shared.packer.pack(shared.era(), &reply.updates)?;
+    let mut response = Response::new(Full::new(packed));
     response.headers_mut().insert(AGE_HEADER, reply.age_ms.into());
     response.headers_mut().insert(HELD_HEADER, reply.held_ms.into());
     Ok(response)
 }
 
 /// Returns the reply to `query`, or `None` while this entry has no configuration.
-fn reply<P>(shared: &Shared<P>, query: &Query, received_at: Time) -> Option<Reply> {
+fn reply<P>(shared: &Shared<P>, era: Era, query: &Query, received_at: Time) -> Option<Reply> {
     let now = shared.now();
     let mirror = shared.mirror();
     let confirmed_at = mirror.confirmed_at(Kind::Config)?;
-    let updates = query.since.iter().filter_map(|(kind, since)| mirror.update_since(*kind, *since));
+    let updates = query.since(era).filter_map(|(kind, since)| mirror.update_since(kind, since));
     Some(Reply {
         updates: updates.collect(),
         age_ms: millis(now.since(confirmed_at)),
@@ -212,13 +251,21 @@
     })
 }
 
+impl Query {
+    /// Returns the kinds, each with the version of `era` that the peer has.
+    fn since(&self, era: Era) -> impl Iterator<Item = (Kind, Option<Version>)> {
+        let since = self.since.iter();
+        since.map(move |(kind, since)| (*kind, since.map(|revision| Version { era, revision })))
+    }
+}
+
 /// Waits until the peer lacks an update and this entry's mirror is fresh.
-async fn wait_for_update<P: Platform>(shared: &Shared<P>, query: &Query) {
+async fn wait_for_update<P: Platform>(shared: &Shared<P>, era: Era, query: &Query) {
     loop {
         let changed = shared.mirror_changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
-        if is_behind(shared, query) && is_fresh(shared) {
+        if is_behind(shared, era, query) && is_fresh(shared) {
             return;
         }
         // No notification comes when the mirror becomes fresh again, so this is polled.
@@ -234,9 +281,9 @@
 }
 
 /// Returns whether the mirror has an update for the peer.
-fn is_behind<P>(shared: &Shared<P>, query: &Query) -> bool {
+fn is_behind<P>(shared: &Shared<P>, era: Era, query: &Query) -> bool {
     let mirror = shared.mirror();
-    query.since.iter().any(|(kind, since)| mirror.has_update(*kind, *since))
+    query.since(era).any(|(kind, since)| mirror.has_update(kind, since))
 }
 
 /// Follows the store through the peer that reads it for this entry, until the process ends. Sets
@@ -287,7 +334,7 @@
         None => return None,
     };
     let mirror = shared.mirror();
-    let is_complete = FOLLOWED_KINDS.iter().all(|it| mirror.watch_revision(*it).is_some());
+    let is_complete = FOLLOWED_KINDS.iter().all(|it| mirror.watch_version(*it).is_some());
     drop(mirror);
     if !is_complete && !shared.has_hubs() {
         return None;
@@ -301,7 +348,7 @@
 /// failure domain in a cluster with hubs.
 fn is_starting<P: Platform>(shared: &Shared<P>, started_at: Time) -> bool {
     let is_recent = shared.now().since(started_at) < STARTUP_WAIT;
-    let has_entries = shared.mirror().watch_revision(Kind::Entries).is_some();
+    let has_entries = shared.mirror().watch_version(Kind::Entries).is_some();
     is_recent && (!has_entries || (shared.has_hubs() && !shared.is_reader_candidate()))
 }
 
@@ -313,18 +360,20 @@
 ) -> Result<(), Error> {
     let bounds = shared.settings().bounds;
     let sent_at = shared.now();
-    let since = {
+    let (era, since) = {
         let mirror = shared.mirror();
-        let since = FOLLOWED_KINDS.map(|kind| (kind, mirror.watch_revision(kind)));
+        let revision = |kind| mirror.watch_version(kind).map(|it| it.revision);
+        let since = FOLLOWED_KINDS.map(|kind| (kind, revision(kind)));
         // Without a configuration, the list of instances isn't requested yet: it takes longest, and
         // the configuration is needed first.
-        let needs_config = mirror.watch_revision(Kind::Config).is_none();
+        let needs_config = revision(Kind::Config).is_none();
         let requested =
             since.into_iter().filter(|(kind, _)| !needs_config || *kind != Kind::Instances);
-        requested.collect()
+        (mirror.era(), requested.collect())
     };
     let query = Query { since, wait_ms: millis(hold) };
-    let reply = send_query(shared, address, &query).await?;
+    let (reply_era, reply) = send_query(shared, address, era, &query).await?;
+    observe_peer_era(shared, reply_era)?;
     let age = Duration::from_millis(u64::from(reply.age_ms));
     if age > bounds.max_relay_age() {
         return Err(Error::Stale(age));
@@ -338,34 +387,94 @@
     // and its objects were up to date `age` before its reply.
     let confirmed_at = (sent_at + Duration::from_millis(u64::from(reply.held_ms))).back(age);
     for Update { kind, list, changes } in reply.updates {
+        let version = Version { era: reply_era, revision: changes.revision };
         match list {
-            Some(items) => apply::list(shared, kind, changes.revision, confirmed_at, &items),
-            None => apply::changes(shared, kind, confirmed_at, &changes),
+            Some(items) => apply::list(shared, kind, version, confirmed_at, &items),
+            None => apply::changes(shared, kind, reply_era, confirmed_at, &changes),
         }
     }
     Ok(())
 }
 
+/// Takes a later era that a peer states, and rejects an earlier one.
+fn observe_peer_era<P>(shared: &Shared<P>, era: Era) -> Result<(), Error> {
+    let observation = shared.mirror().observe_peer_era(era);
+    match observation {
+        Observation::Restored { from, to } => follow::announce_era(shared, from, to, "peer"),
+        Observation::Outdated(era) => return Err(Error::EraOutdated(era)),
+        Observation::Current(_) | Observation::Unconfirmed(_) => {}
+    }
+    Ok(())
+}
+
+/// Asks the peer at `address` what it holds in place of the store's objects, within `time_limit`.
+///
+/// # Errors
+///
+/// If the peer doesn't answer, knows an earlier era only and no configuration, or is of a build
+/// that holds nothing.
+pub(crate) async fn fetch_held<P: Platform>(
+    shared: &Shared<P>,
+    address: SocketAddr,
+    time_limit: Duration,
+) -> Result<Vec<Held>, Error> {
+    let request = peer_request(address, HELD_PATH, shared.era(), Vec::new());
+    let response = shared.store.call(address, request, time_limit, MAX_REPLY_BYTES).await?;
+    if response.status() != StatusCode::OK {
+        return Err(Error::Status(response.status()));
+    }
+    if let Some(era) = stated_era(response.headers()).filter(|it| *it > shared.era()) {
+        observe_peer_era(shared, era)?;
+    }
+    let mut held: Vec<Held> = rmp_serde::from_slice(response.body())?;
+    held.iter_mut().for_each(Held::restore_sequence);
+    Ok(held)
+}
+
+/// Sends a query, and returns the reply with its era.
 async fn send_query<P: Platform>(
     shared: &Shared<P>,
     address: SocketAddr,
+    era: Era,
     query: &Query,
-) -> Result<Reply, Error> {
+) -> Result<(Era, Reply), Error> {
     // Encoding can't fail for these types.
     let body = rmp_serde::to_vec(query).unwrap_or_default();
+    let request = peer_request(address, QUERY_PATH, era, body);
+    let time_limit = Duration::from_millis(u64::from(query.wait_ms)) + QUERY_TIMEOUT_MARGIN;
+    let response = shared.store.call(address, request, time_limit, MAX_REPLY_BYTES).await?;
+    let era = stated_era(response.headers()).unwrap_or(era);
+    let reply = match response.status() {
+        StatusCode::OK if response.headers().contains_key(AGE_HEADER) => unpack_reply(&response)?,
+        StatusCode::OK => decode_reply(response.body())?,
+        status => return Err(Error::Status(status)),
+    };
+    Ok((era, reply))
+}
+
+/// Builds a request to the peer at `address` from an entry that knows `era`.
+fn peer_request(
+    address: SocketAddr,
+    path: &'static str,
+    era: Era,
+    body: Vec<u8>,
+) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.method_mut() = Method::POST;
-    *request.uri_mut() = Uri::from_static(QUERY_PATH);
+    *request.uri_mut() = Uri::from_static(path);
+    request.headers_mut().insert(ERA_HEADER, era.0.into());
     if let Ok(host) = address.to_string().parse() {
         request.headers_mut().insert(http::header::HOST, host);
     }
-    let time_limit = Duration::from_millis(u64::from(query.wait_ms)) + QUERY_TIMEOUT_MARGIN;
-    let response = shared.store.call(address, request, time_limit, MAX_REPLY_BYTES).await?;
-    match response.status() {
-        StatusCode::OK if response.headers().contains_key(AGE_HEADER) => unpack_reply(&response),
-        StatusCode::OK => Ok(rmp_serde::from_slice(response.body())?),
-        status => Err(Error::Status(status)),
-    }
+    request
+}
+
+/// Decodes a reply and the sequences behind it, if it has them.
+fn decode_reply(bytes: &[u8]) -> Result<Reply, Error> {
+    let mut rest = bytes;
+    let mut reply: Reply = rmp_serde::from_read(&mut rest)?;
+    pack::read_sequences(rest, &mut reply.updates);
+    Ok(reply)
 }
 
 fn unpack_reply(response: &Response<Bytes>) -> Result<Reply, Error> {
--- a/gateway/src/relay/pack.rs
+++ b/gateway/src/relay/pack.rs
@@ -8,12 +8,13 @@
 use std::sync::{Mutex, PoisonError};
 
 use bytes::Bytes;
+use decision::gateway::era::Era;
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 
 use crate::mirror::Update;
-use crate::port::Kind;
+use crate::port::{Kind, Object};
 
 /// Smallest number of objects in a list that is sent compressed.
 const MIN_PACKED_OBJECTS: usize = 64;
@@ -35,8 +36,9 @@
     Compress(#[from] std::io::Error),
 }
 
-/// Identity of packed updates: kind and revision of each, and whether it has a whole list.
-type CacheKey = Vec<(Kind, u64, bool)>;
+/// Identity of packed updates: the era, and kind and revision of each, and whether it has a whole
+/// list.
+type CacheKey = (Era, Vec<(Kind, u64, bool)>);
 
 /// Packs updates, and caches the last ones that consist of whole lists.
 #[derive(Debug, Default)]
@@ -56,9 +58,9 @@
     /// # Errors
     ///
     /// Returns an error if the updates can't be encoded or compressed.
-    pub fn pack(&self, updates: &[Update]) -> Result<Bytes, Error> {
-        let key: CacheKey =
-            updates.iter().map(|it| (it.kind, it.changes.revision, it.list.is_some())).collect();
+    pub fn pack(&self, era: Era, updates: &[Update]) -> Result<Bytes, Error> {
+        let identity = |it: &Update| (it.kind, it.changes.revision, it.list.is_some());
+        let key: CacheKey = (era, updates.iter().map(identity).collect());
         let mut cached = self.cached.lock().unwrap_or_else(PoisonError::into_inner);
         // Whole lists are the same for all peers; changes depend on the peer's revision.
         let is_whole = updates.iter().all(|it| it.list.is_some());
@@ -66,7 +68,9 @@
             return Ok(bytes.clone());
         }
         let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-        encoder.write_all(&rmp_serde::to_vec(updates)?)?;
+        let mut encoded = rmp_serde::to_vec(updates)?;
+        append_sequences(&mut encoded, updates)?;
+        encoder.write_all(&encoded)?;
         let bytes = Bytes::from(encoder.finish()?);
         if is_whole {
             *cached = Some((key, bytes.clone()));
@@ -83,5 +87,40 @@
 pub fn unpack(bytes: &[u8]) -> Result<Vec<Update>, Error> {
     let mut unpacked = Vec::new();
     DeflateDecoder::new(bytes).take(MAX_UNPACKED_BYTES).read_to_end(&mut unpacked)?;
-    Ok(rmp_serde::from_slice(&unpacked)?)
+    let mut rest = unpacked.as_slice();
+    let mut updates: Vec<Update> = rmp_serde::from_read(&mut rest)?;
+    read_sequences(rest, &mut updates);
+    Ok(updates)
+}
+
+/// Appends the sequences of all instances in `updates` to their encoded form, where builds that
+/// don't know them don't read.
+///
+/// # Errors
+///
+/// Returns an error if they can't be encoded.
+pub fn append_sequences(encoded: &mut Vec<u8>, updates: &[Update]) -> Result<(), Error> {
+    let objects = updates.iter().flat_map(|it| it.list.iter().flatten().chain(&it.changes.put));
+    let sequences = objects.filter_map(|it| match &it.object {
+        Object::Instance(instance) => Some(instance.sequence),
+        _ => None,
+    });
+    let sequences: Vec<Option<u64>> = sequences.collect();
+    rmp_serde::encode::write(encoded, &sequences)?;
+    Ok(())
+}
+
+/// Sets the sequences of the instances in `updates` from the bytes behind their encoded form. A
+/// build that doesn't know them appends none, and the instances keep none.
+pub fn read_sequences(rest: &[u8], updates: &mut [Update]) {
+    let sequences: Vec<Option<u64>> = rmp_serde::from_slice(rest).unwrap_or_default();
+    let objects =
+        updates.iter_mut().flat_map(|it| it.list.iter_mut().flatten().chain(&mut it.changes.put));
+    let instances = objects.filter_map(|it| match &mut it.object {
+        Object::Instance(instance) => Some(instance),
+        _ => None,
+    });
+    for (instance, sequence) in instances.zip(sequences) {
+        instance.sequence = sequence;
+    }
 }
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -334,6 +334,7 @@
             route: &self.route.name,
             status: refusal.status.as_u16(),
             reason: refusal.reason,
+            era: self.shared.era(),
             config: self.knowledge.0,
             config_age_ms: millis(self.knowledge.1),
             waited_ms: self.waited_ms(),
--- a/gateway/src/routing.rs
+++ b/gateway/src/routing.rs
@@ -1,6 +1,7 @@
 //! Resolves the route, service and workspace of a request from its head and the configuration.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use decision::gateway::config::{Route, Service};
 use decision::gateway::route::{Principal, Table};
@@ -43,7 +44,8 @@
         (knowledge.table.clone(), knowledge.config_confirmed_at)
     };
     let retry_after = Duration::from_millis(500);
-    let Some(confirmed_at) = confirmed_at.filter(|_| table.version() > 0) else {
+    let is_informed = shared.is_informed.load(Ordering::Relaxed);
+    let Some(confirmed_at) = confirmed_at.filter(|_| table.version() > 0 && is_informed) else {
         return Err(Refusal::retryable("no configuration yet", retry_after));
     };
     let age = shared.now().since(confirmed_at);
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -76,6 +76,10 @@
     pub warmup_slack: f64,
     /// Milliseconds for which requests of a failed replica may stall.
     pub stall_ms: u64,
+    /// Milliseconds by which an unavailable store may delay what the other bounds demand.
+    pub max_skew_ms: u64,
+    /// Seconds that an entry or an instance has to catch up after a start or an outage.
+    pub catchup_s: f64,
 }
 
 impl Default for Bounds {
@@ -92,6 +96,8 @@
             warmup_excess: 1.0,
             warmup_slack: 0.0,
             stall_ms: 6_000,
+            max_skew_ms: 5_000,
+            catchup_s: 4.0,
         }
     }
 }
@@ -140,6 +146,7 @@
             ("bounds.revoke_ms", bounds.revoke_ms as f64),
             ("bounds.grace_s", bounds.grace_s),
             ("bounds.retry_window_s", bounds.retry_window_s),
+            ("bounds.catchup_s", bounds.catchup_s),
             ("cores", self.cores),
             ("memory_mb", self.memory_mb),
         ];
@@ -202,6 +209,13 @@
         Duration::from_millis(self.config_ms) / 2
     }
 
+    /// Returns the time for which an object stays in force although the store was restored from a
+    /// copy that lacks it: its writer must notice the loss, reach the store and write it again.
+    pub fn restore_hold(&self) -> Duration {
+        let longest = self.config_ms.max(self.drain_ms).max(self.evacuate_ms).max(self.revoke_ms);
+        Duration::from_millis(longest + self.max_skew_ms) + Duration::from_secs_f64(self.catchup_s)
+    }
+
     /// Returns the largest age of the configuration at which an entry is ready.
     pub fn max_config_age_for_ready(&self) -> Duration {
         Duration::from_millis(self.revoke_ms) * 7 / 10
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -7,11 +7,12 @@
 use arc_swap::ArcSwap;
 use decision::gateway::balance::{self, Balancer, Target};
 use decision::gateway::budget::{self, Budget};
+use decision::gateway::era::Era;
 use decision::gateway::exchange::{self, Rank};
 use decision::gateway::fleet::{self, Fleet};
 use decision::gateway::route::Table;
 use decision::prelude::*;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::clock::Clock;
 use crate::journal::{Event, Journal};
@@ -64,6 +65,12 @@
     pub(crate) stopping: AtomicBool,
     /// Notified when the objects that peers can read here have changed.
     pub(crate) mirror_changed: Notify,
+    /// The known era of the store; changes when the store was restored from an older copy.
+    pub(crate) era: watch::Sender<Era>,
+    /// Whether the last response of the store stated its era.
+    pub(crate) is_era_stated: AtomicBool,
+    /// Whether this entry has asked its peers what they know better than the store.
+    pub(crate) is_informed: AtomicBool,
     /// Encoder of complete lists for peers.
     pub(crate) packer: Packer,
     settings: ArcSwap<Settings>,
@@ -78,6 +85,8 @@
 pub(crate) struct Knowledge {
     /// Configuration in force.
     pub(crate) table: Arc<Table>,
+    /// Era of the store in which the configuration in force was last seen there.
+    pub(crate) config_era: Era,
     /// When the last request was sent whose response confirmed the configuration.
     pub(crate) config_confirmed_at: Option<Time>,
     /// Known instances.
@@ -130,6 +139,9 @@
             peers: Peers::default(),
             stopping: AtomicBool::new(false),
             mirror_changed: Notify::new(),
+            era: watch::Sender::new(Era::default()),
+            is_era_stated: AtomicBool::new(false),
+            is_informed: AtomicBool::new(false),
             packer: Packer::default(),
             mirror: Mutex::default(),
             knowledge: Mutex::default(),
@@ -138,6 +150,16 @@
         }
     }
 
+    /// Returns the known era of the store.
+    pub(crate) fn era(&self) -> Era {
+        *self.era.borrow()
+    }
+
+    /// Returns the time until which the objects are held that a restored store has lost.
+    pub(crate) fn hold_until(&self) -> Time {
+        self.now() + self.settings().bounds.restore_hold()
+    }
+
     /// Returns the settings in force.
     pub(crate) fn settings(&self) -> Arc<Settings> {
         self.settings.load_full()
@@ -256,7 +278,7 @@
     /// Returns whether this entry should get new connections: it is not stopping, its configuration
     /// is fresh, and a service has a healthy target.
     pub(crate) fn is_ready(&self) -> bool {
-        if self.stopping.load(Ordering::Relaxed) {
+        if self.stopping.load(Ordering::Relaxed) || !self.is_informed.load(Ordering::Relaxed) {
             return false;
         }
         let knowledge = self.knowledge();
--- a/gateway/tests/mirror.rs
+++ b/gateway/tests/mirror.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use decision::gateway::era::{Era, Version};
 use decision::prelude::*;
 use gateway::mirror::{Mirror, Update};
 use gateway::port::{Changes, Item, Kind, Object};
@@ -15,6 +16,11 @@
     Time::ZERO + Duration::from_millis(ms)
 }
 
+/// Returns a revision of the only era of these tests.
+fn version(revision: u64) -> Version {
+    Version { era: Era::default(), revision }
+}
+
 fn item(name: &str, revision: u64) -> Item {
     Item { name: name.into(), revision, object: Object::Evacuation }
 }
@@ -32,12 +38,12 @@
 }
 
 fn list(mirror: &mut Mirror, revision: u64, items: &[Item]) {
-    drop(mirror.apply_list(KIND, revision, at(revision), items));
+    drop(mirror.apply_list(KIND, version(revision), at(revision), items, Time::ZERO));
 }
 
 /// Applies changes that were requested at the time of their revision.
 fn change(mirror: &mut Mirror, changes: &Changes) {
-    drop(mirror.apply_changes(KIND, at(changes.revision), changes));
+    drop(mirror.apply_changes(KIND, Era::default(), at(changes.revision), changes));
 }
 
 /// Returns the known objects, each with its revision.
@@ -55,29 +61,29 @@
     let mut mirror = mirror_with_list(9, &[item("a", 8)]);
     list(&mut mirror, 7, &[item("a", 3), item("b", 5)]);
     assert_eq!(known(&mirror), objects(&[("a", 8)]));
-    assert_eq!(mirror.watch_revision(KIND), Some(9));
+    assert_eq!(mirror.watch_version(KIND), Some(version(9)));
 }
 
 #[test]
 fn an_older_list_is_rejected_while_a_new_list_is_required() {
     let mut mirror = mirror_with_list(9, &[item("a", 8)]);
     mirror.require_list(KIND);
-    assert_eq!(mirror.watch_revision(KIND), None);
+    assert_eq!(mirror.watch_version(KIND), None);
     list(&mut mirror, 7, &[item("a", 3), item("b", 5)]);
-    assert_eq!(mirror.watch_revision(KIND), None);
+    assert_eq!(mirror.watch_version(KIND), None);
     list(&mut mirror, 10, &[item("a", 8), item("c", 10)]);
     assert_eq!(known(&mirror), objects(&[("a", 8), ("c", 10)]));
-    assert_eq!(mirror.watch_revision(KIND), Some(10));
+    assert_eq!(mirror.watch_version(KIND), Some(version(10)));
 }
 
 #[test]
 fn outdated_lists_and_changes_do_not_advance_the_confirmation() {
     let mut mirror = mirror_with_list(9, &[item("a", 8)]);
-    drop(mirror.apply_changes(KIND, at(50), &changes(7, &[item("a", 6)], &[])));
-    drop(mirror.apply_list(KIND, 7, at(60), &[]));
-    drop(mirror.apply_changes(KIND, at(70), &changes(8, &[], &[])));
+    drop(mirror.apply_changes(KIND, Era::default(), at(50), &changes(7, &[item("a", 6)], &[])));
+    drop(mirror.apply_list(KIND, version(7), at(60), &[], Time::ZERO));
+    drop(mirror.apply_changes(KIND, Era::default(), at(70), &changes(8, &[], &[])));
     assert_eq!(mirror.confirmed_at(KIND), Some(at(9)));
-    drop(mirror.apply_changes(KIND, at(80), &changes(9, &[], &[])));
+    drop(mirror.apply_changes(KIND, Era::default(), at(80), &changes(9, &[], &[])));
     assert_eq!(mirror.confirmed_at(KIND), Some(at(80)));
 }
 
@@ -118,7 +124,7 @@
 fn changes_before_the_first_list_are_ignored() {
     let mut mirror = Mirror::default();
     change(&mut mirror, &changes(9, &[item("a", 8)], &[]));
-    assert_eq!(mirror.watch_revision(KIND), None);
+    assert_eq!(mirror.watch_version(KIND), None);
     assert!(mirror.update_since(KIND, None).is_none());
 }
 
@@ -126,8 +132,11 @@
 fn a_list_without_differences_yields_no_changes() {
     let items = [item("a", 8), item("b", 7)];
     let mut mirror = mirror_with_list(9, &items);
-    assert_eq!(mirror.apply_list(KIND, 10, at(10), &items).map(|it| it.is_empty()), Ok(true));
-    assert_eq!(mirror.watch_revision(KIND), Some(10));
+    assert_eq!(
+        mirror.apply_list(KIND, version(10), at(10), &items, Time::ZERO).map(|it| it.is_empty()),
+        Ok(true)
+    );
+    assert_eq!(mirror.watch_version(KIND), Some(version(10)));
 }
 
 /// A store with all its events, so that its objects at each revision are known.
@@ -207,11 +216,11 @@
         let mut responses: Vec<(usize, Update)> = Vec::new();
         for step in 0..300 {
             let own = below(&mut rng, 2);
-            let since = mirrors[own].watch_revision(KIND);
+            let since = mirrors[own].watch_version(KIND);
             match (below(&mut rng, 8), since) {
                 (0 | 1, _) => store.write(&mut rng),
                 (2, _) => responses.push((own, store.list())),
-                (3, Some(since)) => responses.push((own, store.watch(since))),
+                (3, Some(since)) => responses.push((own, store.watch(since.revision))),
                 (4, _) => {
                     responses.extend(mirrors[1 - own].update_since(KIND, since).map(|it| (own, it)))
                 }
@@ -222,8 +231,8 @@
                         responses.swap_remove(below(&mut rng, responses.len() as u64));
                     let before = known(&mirrors[to]);
                     apply(&mut mirrors[to], &update);
-                    let Some(revision) = mirrors[to].watch_revision(KIND) else { continue };
-                    let objects = store.objects_at(revision);
+                    let Some(known_version) = mirrors[to].watch_version(KIND) else { continue };
+                    let objects = store.objects_at(known_version.revision);
                     let after = known(&mirrors[to]);
                     assert_eq!(
                         after, objects,
--- a/gateway/tests/pack.rs
+++ b/gateway/tests/pack.rs
@@ -1,5 +1,6 @@
 //! Tests of the compressed updates that are encoded once for all peers.
 
+use decision::gateway::era::Era;
 use gateway::mirror::Update;
 use gateway::port::{Changes, Entry, Item, Kind, Object};
 use gateway::relay::pack::{Error, Packer, is_large, unpack};
@@ -32,7 +33,7 @@
 #[test]
 fn a_list_comes_out_as_it_went_in_and_is_much_smaller() {
     let list = [update(7, 3_000, true)];
-    let bytes = Packer::default().pack(&list).expect("the updates can be packed");
+    let bytes = Packer::default().pack(Era::default(), &list).expect("the updates can be packed");
     let plain_len = rmp_serde::to_vec(&list).expect("the updates can be encoded").len();
     assert!(bytes.len() * 4 < plain_len, "{} of {plain_len} bytes", bytes.len());
     let unpacked = unpack(&bytes).expect("the updates can be unpacked");
@@ -46,7 +47,8 @@
 #[test]
 fn a_list_is_packed_once_for_all_and_anew_when_it_has_changed() {
     let packer = Packer::default();
-    let pack = |update: Update| packer.pack(&[update]).expect("the updates can be packed");
+    let pack =
+        |update: Update| packer.pack(Era::default(), &[update]).expect("the updates can be packed");
     let (first, second) = (pack(update(7, 100, true)), pack(update(7, 100, true)));
     assert_eq!(first.as_ptr(), second.as_ptr());
     let later = pack(update(8, 101, true));
@@ -65,7 +67,8 @@
 #[test]
 fn what_is_no_packed_list_is_an_error() {
     assert!(matches!(unpack(b"\x00nonsense"), Err(Error::Compress(_))));
-    let packed =
-        Packer::default().pack(&[update(1, 100, true)]).expect("the updates can be packed");
+    let packed = Packer::default()
+        .pack(Era::default(), &[update(1, 100, true)])
+        .expect("the updates can be packed");
     assert!(unpack(&packed[..packed.len() / 2]).is_err());
 }
