Read the store itself once the own copy is old, whatever the reader does

Cause: the entry that reads the store for all was turned away by it. Its followers asked the next peer that said it reaches the store, which only followed the same reader; each such question was held for the whole wait and then rejected as too old, one peer after the other.

Evidence: from 5.92 s the reader is rejected; from 7.02 to 7.76 s all 81 entries write `objects of the peer are too old: 1.5 s` to `2.23 s` and go on to the next peer; version 8, acknowledged at 6.08 s, is not acted on at 9.13 s (`edge-accra-b-9`) and 9.12 s (`edge-accra-a-5`).

Change: an entry whose configuration was last confirmed three quarters of `config_ms` ago reads the store itself, beside the question that is on its way. An entry as old as that no longer says that it reaches the store, so that it isn't chosen as a reader.

Why it works: the bound no longer depends on how many readers are old at the same time; with readers in order, a copy is at most 0.75 of `config_ms` old just before the next answer.

--- a/gateway/src/peers/send.rs
+++ b/gateway/src/peers/send.rs
@@ -139,7 +139,7 @@
             incarnation: self.incarnation,
             millicores: settings.millicores(),
             owner_fence,
-            has_store: shared.is_store_up(),
+            has_store: shared.has_recent_store(),
             has_history: shared.has_fleet_history(),
             is_leaving: shared.stopping.load(Ordering::Relaxed),
         };
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -300,7 +300,16 @@
             sleep(POLL_INTERVAL).await;
             continue;
         };
-        let result = update_from(&shared, address, hold).await;
+        let query = update_from(&shared, address, hold);
+        tokio::pin!(query);
+        let result = tokio::select! {
+            result = &mut query => result,
+            () = outdated(&shared) => {
+                // The next reader may be as outdated as this one.
+                source.send_if_modified(|it| std::mem::replace(it, Source::Store) != Source::Store);
+                query.await
+            }
+        };
         match result {
             Ok(()) => {
                 shared.store_up.store(true, Ordering::Relaxed);
@@ -319,6 +328,22 @@
     }
 }
 
+/// Waits until this entry's configuration was last confirmed so long ago that it has to read the
+/// store itself. Never returns while it has none.
+async fn outdated<P: Platform>(shared: &Shared<P>) {
+    loop {
+        let Some(confirmed_at) = shared.mirror().confirmed_at(Kind::Config) else {
+            return std::future::pending().await;
+        };
+        let max_age = shared.settings().bounds.max_followed_age();
+        let age = shared.now().since(confirmed_at);
+        if age >= max_age {
+            return;
+        }
+        sleep(max_age - age).await;
+    }
+}
+
 /// Returns the name and address of the peer that reads the store for this failure domain, or else
 /// for the cluster, and the time for which it may hold a query. Returns `None` if this entry is to
 /// read the store itself; in a cluster without hubs, also until all kinds have been listed.
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -216,6 +216,12 @@
         Duration::from_millis(longest + self.max_skew_ms) + Duration::from_secs_f64(self.catchup_s)
     }
 
+    /// Returns the age of this entry's own copy from which on it reads the store itself, whatever
+    /// its reader does. Above the largest age that a reader in order leaves it at.
+    pub fn max_followed_age(&self) -> Duration {
+        Duration::from_millis(self.config_ms) * 3 / 4
+    }
+
     /// Returns the largest age of the configuration at which an entry is ready.
     pub fn max_config_age_for_ready(&self) -> Duration {
         Duration::from_millis(self.revoke_ms) * 7 / 10
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -196,6 +196,14 @@
         self.store_up.load(Ordering::Relaxed)
     }
 
+    /// Returns whether this entry may read the store for others: it reached the store, itself or by
+    /// a peer, and its configuration was confirmed lately.
+    pub(crate) fn has_recent_store(&self) -> bool {
+        let confirmed_at = self.knowledge().config_confirmed_at;
+        let max_age = self.settings().bounds.max_followed_age();
+        self.is_store_up() && confirmed_at.is_none_or(|it| self.now().since(it) < max_age)
+    }
+
     /// Returns whether the instances have been followed for as long as deleted ones are remembered.
     pub(crate) fn has_fleet_history(&self) -> bool {
         let listed_at = self.knowledge().fleet_listed_at;
