Give the reasons of failed attempts a type

`call.rs` chose the status 504 by comparing a text with "no answer in time", and `stream.rs` told a caller who left from a failed target by "caller left": a reworded line would have changed behaviour. `Reason` names them once, with the words that the log had. `prepare_retry` loses a parameter that was always true. No line of the log changes, nothing else either.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -1,7 +1,7 @@
 //! Requests whose response is read as a whole before it is sent to the caller.
 
 use bytes::Bytes;
-use decision::gateway::balance::Completion;
+use decision::gateway::balance::{Completion, Key};
 use http::{Response, StatusCode, header, response};
 use http_body_util::{BodyExt as _, Limited};
 use tokio::time::timeout_at;
@@ -10,6 +10,7 @@
 use crate::error::Call;
 use crate::pool::{Connection, Reply};
 use crate::port::{Platform, Run};
+use crate::reason::Reason;
 use crate::refusal::{Denial, Refusal};
 use crate::request::{Job, Times, remove_hop_by_hop};
 use crate::slot::Slot;
@@ -24,10 +25,10 @@
 enum Attempt {
     /// The target sent a response for the caller.
     Answered(Box<response::Parts>, Bytes),
-    /// The target did not run the request. Holds the reason that is logged.
-    NotRun(&'static str),
-    /// The target may have run the request. Holds the reason that is logged.
-    Unknown(&'static str),
+    /// The target did not run the request. Holds the reason.
+    NotRun(Reason),
+    /// The target may have run the request. Holds the reason.
+    Unknown(Reason),
 }
 
 /// Sends a request to targets until there is a response or no attempt is left. Returns the response
@@ -44,7 +45,7 @@
         match attempt {
             Attempt::Answered(head, body) => {
                 let is_error = head.status.is_server_error();
-                if is_error && job.route.is_idempotent() && prepare_retry(&mut job, key, true) {
+                if is_error && job.route.is_idempotent() && prepare_retry(&mut job, key) {
                     unknown_status = Some(StatusCode::BAD_GATEWAY);
                     continue;
                 }
@@ -60,10 +61,10 @@
             Attempt::NotRun(_) => return give_up(&job, Denial::DeadlinePassed, unknown_status),
             Attempt::Unknown(reason) => {
                 let status = match reason {
-                    "no answer in time" => StatusCode::GATEWAY_TIMEOUT,
+                    Reason::NoResponse => StatusCode::GATEWAY_TIMEOUT,
                     _ => StatusCode::BAD_GATEWAY,
                 };
-                if job.route.is_idempotent() && prepare_retry(&mut job, key, true) {
+                if job.route.is_idempotent() && prepare_retry(&mut job, key) {
                     unknown_status = Some(status);
                     continue;
                 }
@@ -76,17 +77,11 @@
 /// A request that the last target did not run is given up once more targets than this are excluded.
 const MAX_REFUSALS: usize = 3;
 
-/// Excludes the target `key` from further attempts, and counts it as attempted if it may have run
-/// the request. Returns whether the request may be retried.
-fn prepare_retry<P: Platform>(
-    job: &mut Job<P>,
-    key: decision::gateway::balance::Key,
-    may_have_run: bool,
-) -> bool {
+/// Excludes the target `key`, which may have run the request, from further attempts, and counts it
+/// as attempted. Returns whether the request may be retried.
+fn prepare_retry<P: Platform>(job: &mut Job<P>, key: Key) -> bool {
     job.excluded.push(key);
-    if may_have_run {
-        job.attempted.push(key);
-    }
+    job.attempted.push(key);
     job.may_retry() && job.shared.now() < job.deadline
 }
 
@@ -125,11 +120,11 @@
     let exchange = exchange(job, &slot, request);
     let attempt = timeout_at(deadline, exchange).await;
     let (attempt, completion) =
-        attempt.unwrap_or((Attempt::Unknown("no answer in time"), Completion::Failed));
+        attempt.unwrap_or((Attempt::Unknown(Reason::NoResponse), Completion::Failed));
     match &attempt {
         Attempt::Answered(..) => {}
-        Attempt::NotRun(reason) => job.record_failure(&slot, reason, "no"),
-        Attempt::Unknown(reason) => job.record_failure(&slot, reason, "unknown"),
+        Attempt::NotRun(reason) => job.record_failure(&slot, *reason, "no"),
+        Attempt::Unknown(reason) => job.record_failure(&slot, *reason, "unknown"),
     }
     slot.finish(completion);
     attempt
@@ -145,21 +140,25 @@
     let sent = job.shared.targets.send(slot.target.address, request, connection).await;
     let response = match sent {
         Ok(response) => response,
-        Err(Call::Connect(_)) => return (Attempt::NotRun("cannot connect"), Completion::Failed),
-        Err(Call::Unsent) => return (Attempt::NotRun("connection closed"), Completion::Failed),
-        Err(_) => return (Attempt::Unknown("connection broke"), Completion::Failed),
+        Err(Call::Connect(_)) => {
+            return (Attempt::NotRun(Reason::CannotConnect), Completion::Failed);
+        }
+        Err(Call::Unsent) => {
+            return (Attempt::NotRun(Reason::ConnectionClosed), Completion::Failed);
+        }
+        Err(_) => return (Attempt::Unknown(Reason::ConnectionBroke), Completion::Failed),
     };
     let (head, body) = response.into_parts();
     let answer = job.shared.platform.answer(&head);
     job.apply_target_state(slot, &answer);
     if answer.id.as_ref().is_some_and(|it| *it != job.head.id) {
-        return (Attempt::Unknown("answer to another request"), Completion::Failed);
+        return (Attempt::Unknown(Reason::OtherRequest), Completion::Failed);
     }
     match answer.run {
-        Run::Refused => return (Attempt::NotRun("target refused"), Completion::Refused),
-        Run::Misdirected => return (Attempt::NotRun("another instance"), Completion::Failed),
+        Run::Refused => return (Attempt::NotRun(Reason::Refused), Completion::Refused),
+        Run::Misdirected => return (Attempt::NotRun(Reason::OtherInstance), Completion::Failed),
         Run::Possible if answer.id.is_none() => {
-            return (Attempt::Unknown("answer to no request"), Completion::Failed);
+            return (Attempt::Unknown(Reason::NoRequest), Completion::Failed);
         }
         Run::Possible => {}
     }
@@ -167,8 +166,8 @@
         Some(body) if !answer.encoded => {
             (Attempt::Answered(Box::new(head), body), Completion::Answered)
         }
-        Some(_) => (Attempt::Unknown("answer is encoded"), Completion::Failed),
-        None => (Attempt::Unknown("answer broke off"), Completion::Failed),
+        Some(_) => (Attempt::Unknown(Reason::Encoded), Completion::Failed),
+        None => (Attempt::Unknown(Reason::ResponseBrokeOff), Completion::Failed),
     }
 }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! | modules | purpose |
 //! | --- | --- |
-//! | `intake`, `routing`, `request`, `slot`, `call`, `stream`, `refusal` | handling of callers' requests |
+//! | `intake`, `routing`, `request`, `slot`, `call`, `stream`, `reason`, `refusal` | handling of callers' requests |
 //! | `follow`, `relay`, [`mirror`], `apply` | objects of the store, read from it or from a peer |
 //! | `inform` | what peers know better than a store that was restored |
 //! | `owner`, `order` | orders to instances, given by one entry at a time |
@@ -34,6 +34,7 @@
 pub mod pool;
 pub mod port;
 mod ready;
+mod reason;
 mod refusal;
 pub mod relay;
 mod request;
--- /dev/null
+++ b/gateway/src/reason.rs
@@ -0,0 +1,59 @@
+//! Why an attempt at a target failed.
+
+/// Reason why an attempt at a target ended without a whole response for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reason {
+    /// No connection was made.
+    CannotConnect,
+    /// The connection closed before the request was sent.
+    ConnectionClosed,
+    /// The connection broke after the request was sent.
+    ConnectionBroke,
+    /// No response arrived in time.
+    NoResponse,
+    /// The target refused the request.
+    Refused,
+    /// Another instance has the target's address.
+    OtherInstance,
+    /// The response belongs to another request.
+    OtherRequest,
+    /// The response names no request.
+    NoRequest,
+    /// The response has a content encoding.
+    Encoded,
+    /// The body of the response ended early or was too large.
+    ResponseBrokeOff,
+    /// The stream ended early.
+    StreamBrokeOff,
+    /// An event of the stream exceeds its size limit.
+    LargeEvent,
+    /// The target was silent for too long.
+    Silent,
+    /// The deadline of the request passed.
+    DeadlinePassed,
+    /// The caller disconnected.
+    CallerLeft,
+}
+
+impl Reason {
+    /// Returns the name of the reason in the log.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Reason::CannotConnect => "cannot connect",
+            Reason::ConnectionClosed => "connection closed",
+            Reason::ConnectionBroke => "connection broke",
+            Reason::NoResponse => "no answer in time",
+            Reason::Refused => "target refused",
+            Reason::OtherInstance => "another instance",
+            Reason::OtherRequest => "answer to another request",
+            Reason::NoRequest => "answer to no request",
+            Reason::Encoded => "answer is encoded",
+            Reason::ResponseBrokeOff => "answer broke off",
+            Reason::StreamBrokeOff => "stream broke off",
+            Reason::LargeEvent => "event too long",
+            Reason::Silent => "silent",
+            Reason::DeadlinePassed => "deadline",
+            Reason::CallerLeft => "caller left",
+        }
+    }
+}
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -17,6 +17,7 @@
 use crate::journal::Event;
 use crate::memory::Reservation;
 use crate::port::{Envelope, Head, Malformed, Outgoing, Platform};
+use crate::reason::Reason;
 use crate::refusal::{Denial, Refusal};
 use crate::slot::Slot;
 use crate::state::Shared;
@@ -266,11 +267,11 @@
     }
 
     /// Logs that an attempt failed. `ran` tells whether the target ran it: `no` or `unknown`.
-    pub(crate) fn record_failure(&self, slot: &Slot<P>, reason: &str, ran: &str) {
+    pub(crate) fn record_failure(&self, slot: &Slot<P>, reason: Reason, ran: &str) {
         self.shared.journal.note(&Event::Failed {
             request: &self.head.id,
             target: &slot.target.id,
-            reason,
+            reason: reason.name(),
             ran,
             after_ms: self.waited_ms(),
         });
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -15,6 +15,7 @@
 use crate::journal::Event;
 use crate::pool::{Connection, Reply};
 use crate::port::{Platform, Run};
+use crate::reason::Reason;
 use crate::refusal::{Denial, Refusal};
 use crate::request::{Job, Times, remove_hop_by_hop};
 use crate::slot::Slot;
@@ -56,12 +57,12 @@
 
 /// Why a target opened no stream.
 enum Failure {
-    /// The target did not run the request. Holds the reason that is logged.
-    NotRun(&'static str),
+    /// The target did not run the request. Holds the reason.
+    NotRun(Reason),
     /// The target was silent, so that it is not known whether it runs the request.
     Silent,
-    /// The target may have run the request. Holds the reason that is logged.
-    Unknown(&'static str),
+    /// The target may have run the request. Holds the reason.
+    Unknown(Reason),
     /// The target responded with a status that is no success.
     Answered(Box<response::Parts>, Bytes),
 }
@@ -70,8 +71,8 @@
 enum OpenError {
     /// No target is available.
     Denied(Denial),
-    /// An attempt failed after which no other may follow. Holds the reason that is logged.
-    Failed(&'static str),
+    /// An attempt failed after which no other may follow. Holds the reason.
+    Failed(Reason),
     /// A target responded with a status that is no success, which the caller gets.
     Answered(Box<response::Parts>, Bytes),
 }
@@ -120,7 +121,7 @@
         let shared = job.shared.clone();
         let result = tokio::select! {
             biased;
-            () = sender.closed() => Err("caller left"),
+            () = sender.closed() => Err(Reason::CallerLeft),
             result = forward_events(
                 &mut job, &mut upstream, &mut splitter, &mut timer, &sender
             ) => result,
@@ -131,7 +132,7 @@
                 upstream.slot.finish(Completion::Answered);
                 return job.record_end(&target, status, "answered", times);
             }
-            Err("caller left") => {
+            Err(Reason::CallerLeft) => {
                 upstream.slot.finish(Completion::Cancelled);
                 return job.record_end(&target, status, "left", times);
             }
@@ -189,7 +190,7 @@
         Ok(_) | Err(OpenError::Answered(..)) => Err("failed elsewhere"),
         Err(OpenError::Denied(Denial::RetryBudgetSpent)) => Err("budget spent"),
         Err(OpenError::Denied(_)) => Err("no target left"),
-        Err(OpenError::Failed(reason)) => Err(reason),
+        Err(OpenError::Failed(reason)) => Err(reason.name()),
     }
 }
 
@@ -204,7 +205,7 @@
     splitter: &mut Splitter,
     timer: &mut EventTimer,
     sender: &Sender,
-) -> Result<(), &'static str> {
+) -> Result<(), Reason> {
     let shared = job.shared.clone();
     let mut last_received = shared.now();
     let mut earliest_check = Time::ZERO;
@@ -216,7 +217,7 @@
             () = sleep_until(shared.clock.instant(check)) => {
                 let now = shared.now();
                 if now >= job.deadline {
-                    return Err("deadline");
+                    return Err(Reason::DeadlinePassed);
                 }
                 if let Some(until) =
                     late_timer_grace(now, check).filter(|_| earliest_check <= last_received)
@@ -230,7 +231,7 @@
                     continue;
                 }
                 if job.may_fail_over() {
-                    return Err("silent");
+                    return Err(Reason::Silent);
                 }
                 // No other target may take over, but this one may still go on: check again later.
                 earliest_check = now + STREAM_SILENCE_TIMEOUT;
@@ -241,15 +242,15 @@
             return finish_stream(upstream, splitter, sender).await;
         };
         let Ok(data) = frame.map_err(|_| ()).and_then(|it| it.into_data().map_err(|_| ())) else {
-            return Err("stream broke off");
+            return Err(Reason::StreamBrokeOff);
         };
         last_received = shared.now();
         upstream.slot.record_activity();
-        let complete = splitter.push(&data).map_err(|_| "event too long")?;
+        let complete = splitter.push(&data).map_err(|_| Reason::LargeEvent)?;
         if let Some(events) = complete {
             timer.record(last_received, job.arrived);
             upstream.slot.record_event();
-            let delivery = sender.send(events).await.map_err(|Disconnected| "caller left")?;
+            let delivery = sender.send(events).await.map_err(|Disconnected| Reason::CallerLeft)?;
             if delivery == Delivery::Delayed {
                 upstream.slot.ignore_next_gap();
             }
@@ -263,15 +264,15 @@
     upstream: &Upstream<P>,
     splitter: &mut Splitter,
     sender: &Sender,
-) -> Result<(), &'static str> {
+) -> Result<(), Reason> {
     if splitter.incomplete().is_empty() {
         return Ok(());
     }
     if !upstream.body.is_framed() {
-        return Err("stream broke off");
+        return Err(Reason::StreamBrokeOff);
     }
     let incomplete = Bytes::copy_from_slice(splitter.incomplete());
-    sender.send(incomplete).await.map(drop).map_err(|Disconnected| "caller left")
+    sender.send(incomplete).await.map(drop).map_err(|Disconnected| Reason::CallerLeft)
 }
 
 /// Returns when to check next whether a target is silent.
@@ -376,7 +377,7 @@
                 result = &mut exchange => break result,
                 () = sleep_until(job.shared.clock.instant(check)) => {
                     if job.shared.now() >= job.deadline {
-                        break Err((Failure::Unknown("no answer in time"), Completion::Failed));
+                        break Err((Failure::Unknown(Reason::NoResponse), Completion::Failed));
                     }
                     let grace = late_timer_grace(job.shared.now(), check);
                     if let Some(until) = grace.filter(|_| earliest_check <= begun) {
@@ -396,9 +397,9 @@
         Ok((head, body)) => Ok(Upstream { slot, head, body }),
         Err((failure, completion)) => {
             match &failure {
-                Failure::NotRun(reason) => job.record_failure(&slot, reason, "no"),
-                Failure::Silent => job.record_failure(&slot, "silent", "unknown"),
-                Failure::Unknown(reason) => job.record_failure(&slot, reason, "unknown"),
+                Failure::NotRun(reason) => job.record_failure(&slot, *reason, "no"),
+                Failure::Silent => job.record_failure(&slot, Reason::Silent, "unknown"),
+                Failure::Unknown(reason) => job.record_failure(&slot, *reason, "unknown"),
                 Failure::Answered(..) => {}
             }
             slot.finish(completion);
@@ -425,24 +426,26 @@
     let response = match sent {
         Ok(response) => response,
         Err(Call::Connect(_)) => {
-            return Err((Failure::NotRun("cannot connect"), Completion::Failed));
+            return Err((Failure::NotRun(Reason::CannotConnect), Completion::Failed));
         }
         Err(Call::Unsent) => {
-            return Err((Failure::NotRun("connection closed"), Completion::Failed));
+            return Err((Failure::NotRun(Reason::ConnectionClosed), Completion::Failed));
         }
-        Err(_) => return Err((Failure::Unknown("connection broke"), Completion::Failed)),
+        Err(_) => return Err((Failure::Unknown(Reason::ConnectionBroke), Completion::Failed)),
     };
     let (head, body) = response.into_parts();
     let answer = job.shared.platform.answer(&head);
     job.apply_target_state(slot, &answer);
     if answer.id.as_ref().is_some_and(|it| *it != job.head.id) {
-        return Err((Failure::Unknown("answer to another request"), Completion::Failed));
+        return Err((Failure::Unknown(Reason::OtherRequest), Completion::Failed));
     }
     match answer.run {
-        Run::Refused => return Err((Failure::NotRun("target refused"), Completion::Refused)),
-        Run::Misdirected => return Err((Failure::NotRun("another instance"), Completion::Failed)),
+        Run::Refused => return Err((Failure::NotRun(Reason::Refused), Completion::Refused)),
+        Run::Misdirected => {
+            return Err((Failure::NotRun(Reason::OtherInstance), Completion::Failed));
+        }
         Run::Possible if answer.id.is_none() || answer.encoded => {
-            return Err((Failure::Unknown("answer to no request"), Completion::Failed));
+            return Err((Failure::Unknown(Reason::NoRequest), Completion::Failed));
         }
         Run::Possible => {}
     }
@@ -451,6 +454,6 @@
     }
     match call::read_body(body).await {
         Some(body) => Err((Failure::Answered(Box::new(head), body), Completion::Answered)),
-        None => Err((Failure::Unknown("answer broke off"), Completion::Failed)),
+        None => Err((Failure::Unknown(Reason::ResponseBrokeOff), Completion::Failed)),
     }
 }
