Mend what a last read of the change found

- Bytes behind a peer's reply that can't be decoded were taken for none: the counts of instances would have been lost in silence.
They are an error now, which excludes the reader.
- A lease or a registration that can't be written left no line; each logs its reason (registrations the first of a row).
- `informed` told the peers that answered, not those that were asked, so that a start without any answer after a restore left no line.

No decision changes.

--- a/decision/src/gateway/balance/speed.rs
+++ b/decision/src/gateway/balance/speed.rs
@@ -120,7 +120,7 @@
         if self.first_token_count == 0 {
             self.overhead_ms = overhead_ms;
         } else if self.first_token_count < EARLY_SAMPLES {
-            // The minimum of the first few, since most disturbances delay a first token.
+            // The minimum of the first few, since most disruptions delay a first token.
             self.overhead_ms = self.overhead_ms.min(overhead_ms);
         } else {
             let step =
--- a/decision/src/gateway/formation.rs
+++ b/decision/src/gateway/formation.rs
@@ -16,6 +16,7 @@
 mod change;
 mod cost;
 mod ending;
+mod epoch;
 mod lifecycle;
 mod order;
 mod reallocation;
@@ -29,6 +30,7 @@
 use std::sync::Arc;
 
 pub use change::{Cause, Change, Reason, Step};
+pub use epoch::fence_of;
 pub use order::{Action, Close, Order, Precondition, Reply, Verdict};
 pub use settings::Settings;
 
@@ -41,13 +43,6 @@
 use replicas::Replicas;
 use view::{Instances, has_weights};
 
-/// Epochs per owner: an epoch is the owner's fencing token times this, plus a counter.
-const EPOCHS_PER_FENCE: u64 = 1_000_000;
-
-/// Highest fencing token that is read from an epoch. Replicas formed by other writers than an owner
-/// may have any epoch.
-const MAX_FENCE: u64 = u32::MAX as u64;
-
 /// Weight loads that may begin in one load window, however low the configured rate.
 const MIN_WINDOW_LOADS: usize = 6;
 
@@ -138,13 +133,6 @@
     incarnation: u64,
 }
 
-/// Returns the fencing token of the owner that formed the replica of `instance`, if it is a member
-/// of one and its epoch is one of an owner.
-pub fn fence_of(instance: &Instance) -> Option<u64> {
-    let fence = instance.member.as_ref()?.epoch / EPOCHS_PER_FENCE;
-    (fence <= MAX_FENCE).then_some(fence)
-}
-
 impl Formation {
     /// Creates an empty plan for the owner with the fencing token `fence`.
     pub fn new(fence: u64, settings: Settings) -> Formation {
@@ -362,17 +350,6 @@
         self.unlisted = departed;
     }
 
-    /// Returns a new epoch, later than all before it.
-    fn next_epoch(&mut self) -> u64 {
-        self.epoch_count += 1;
-        self.fence * EPOCHS_PER_FENCE + self.epoch_count
-    }
-
-    /// Returns the first epoch of this owner.
-    fn first_epoch(&self) -> u64 {
-        self.fence * EPOCHS_PER_FENCE
-    }
-
     /// Sends an order, unless the same one was sent within [`Settings::resend_interval`].
     fn send(
         &mut self,
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -238,14 +238,27 @@
                 condition = Condition::Exists;
                 continue;
             }
-            Ok(_) => condition = Condition::Absent,
-            Err(_) => {}
+            Ok(reply) => {
+                condition = Condition::Absent;
+                report_registration(shared, failures, &follow::Error::Status(reply.status));
+            }
+            Err(error) => report_registration(shared, failures, &error),
         }
         failures += 1;
         sleep(backoff.delay(failures, hash(name))).await;
     }
 }
 
+/// Logs why this entry can't register itself, after the first failed attempt.
+fn report_registration<P>(shared: &Shared<P>, failures: u32, error: &follow::Error) {
+    if failures > 0 {
+        return;
+    }
+    let reason = error.to_string();
+    let event = Event::Lost { dependency: "store", kind: Kind::Entries, reason: &reason };
+    shared.journal.note(&event);
+}
+
 /// Waits until the list of entries lacks this one or shows it with other values, for as long as a
 /// reader may lag behind.
 async fn wait_until_lost<P: Platform>(shared: &Shared<P>, name: &str, entry: &Entry) {
--- a/gateway/src/inform.rs
+++ b/gateway/src/inform.rs
@@ -38,6 +38,7 @@
         let shared = shared.clone();
         asked.spawn(async move { relay::fetch_held(&shared, address, ANSWER_TIMEOUT).await });
     }
+    let asked_count = asked.len();
     let (mut peers, mut objects) = (0, 0);
     while let Some(answer) = asked.join_next().await {
         // A peer that is gone, starts itself or is of an earlier build knows nothing better.
@@ -45,8 +46,8 @@
         peers += 1;
         objects += adopt(&shared, held);
     }
-    if peers > 0 {
-        shared.journal.note(&Event::Informed { peers, objects });
+    if asked_count > 0 {
+        shared.journal.note(&Event::Informed { asked: asked_count, peers, objects });
     }
     shared.is_informed.store(true, Ordering::Relaxed);
 }
--- a/gateway/src/journal.rs
+++ b/gateway/src/journal.rs
@@ -61,8 +61,9 @@
     },
     /// The store has lost this entry's registration, which is written again.
     Unregistered { era: Era },
-    /// Objects that this entry holds because its peers know them better than the store.
-    Informed { peers: usize, objects: usize },
+    /// At its start, this entry asked peers what they hold: how many were asked and answered, and
+    /// how many objects this entry holds since.
+    Informed { asked: usize, peers: usize, objects: usize },
     /// The time limit of held objects has passed; the stored states come into force.
     HoldExpired { kind: Kind, objects: usize },
     /// A configuration came into force at this entry.
--- a/gateway/src/lease.rs
+++ b/gateway/src/lease.rs
@@ -7,6 +7,7 @@
 use decision::prelude::*;
 
 use crate::follow::{self, Error};
+use crate::journal::Event;
 use crate::port::{Condition, Item, Kind, Lease, Object, Platform, Write};
 use crate::state::Shared;
 
@@ -80,7 +81,12 @@
         .put(store, &Write { kind: Kind::Leases, name: LEASE_NAME, condition, value });
     match follow::write_store(shared, put, WRITE_TIMEOUT).await {
         Ok(reply) => reply.status.is_success() && reply.era == reading.era,
-        Err(_) => false,
+        Err(error) => {
+            let reason = error.to_string();
+            let event = Event::Lost { dependency: "store", kind: Kind::Leases, reason: &reason };
+            shared.journal.note(&event);
+            false
+        }
     }
 }
 
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -5,8 +5,8 @@
 //! that reads the store for this entry.
 
 pub mod pack;
+mod serve;
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -15,16 +15,12 @@
 use decision::gateway::era::{Era, Observation, Version};
 use decision::prelude::*;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use http_body_util::Full;
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
+pub(crate) use self::serve::serve;
 use crate::error::Call;
 use crate::follow::{FOLLOWED_KINDS, Source};
 use crate::journal::Event;
@@ -56,18 +52,9 @@
 /// Path of queries.
 const QUERY_PATH: &str = "/changes";
 
-/// Largest body of a query.
-const MAX_QUERY_BYTES: usize = 1_024;
-
 /// Largest body of a reply, packed or not.
 const MAX_REPLY_BYTES: usize = 16 << 20;
 
-/// Longest time for which a query is held until there is an update.
-const MAX_HOLD: Duration = Duration::from_secs(20);
-
-/// Longest time that a peer's connection may take until the next head of a request is complete.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Time that a query may take beyond the time for which the peer holds it.
 const QUERY_TIMEOUT_MARGIN: Duration = Duration::from_millis(300);
 
@@ -126,166 +113,11 @@
     MissingAge,
 }
 
-/// Answers the queries of peers on `listener`.
-pub(crate) async fn serve<P: Platform>(shared: Arc<Shared<P>>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        // A failure only adds latency to small responses.
-        let _result = stream.set_nodelay(true);
-        let shared = shared.clone();
-        let service = service_fn(move |request| {
-            let shared = shared.clone();
-            async move { Ok::<_, Infallible>(respond(&shared, request).await) }
-        });
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(IDLE_TIMEOUT)
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::spawn(async move {
-            // The peer sees the error itself.
-            let _result = connection.await;
-        });
-    }
-}
-
-async fn respond<P: Platform>(
-    shared: &Shared<P>,
-    request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
-    // A peer of a build without eras is served as if it knew this entry's one.
-    let era = stated_era(request.headers()).unwrap_or(shared.era());
-    let result = match request.uri().path() {
-        QUERY_PATH => answer_query(shared, era, request.into_body()).await,
-        HELD_PATH => held_response(shared, era),
-        _ => Err(StatusCode::NOT_FOUND),
-    };
-    let mut response = result.unwrap_or_else(|status| {
-        let mut response = Response::new(Full::default());
-        *response.status_mut() = status;
-        response
-    });
-    response.headers_mut().insert(ERA_HEADER, shared.era().0.into());
-    response
-}
-
 /// Returns the era that a query or a reply states, if it states one.
 fn stated_era(headers: &HeaderMap) -> Option<Era> {
     headers.get(ERA_HEADER)?.to_str().ok()?.parse().ok().map(Era)
 }
 
-async fn answer_query<P: Platform>(
-    shared: &Shared<P>,
-    era: Era,
-    body: Incoming,
-) -> Result<Response<Full<Bytes>>, StatusCode> {
-    let body = Limited::new(body, MAX_QUERY_BYTES).collect().await;
-    let body = body.map_err(|_| StatusCode::BAD_REQUEST)?.to_bytes();
-    let query: Query = rmp_serde::from_slice(&body).map_err(|_| StatusCode::BAD_REQUEST)?;
-    if era > shared.era() {
-        // The peer has seen the restored store, and this entry hasn't.
-        return Err(StatusCode::SERVICE_UNAVAILABLE);
-    }
-    let received_at = shared.now();
-    let hold = Duration::from_millis(u64::from(query.wait_ms)).min(MAX_HOLD);
-    // Without an update in time, the reply contains none.
-    let _elapsed = timeout(hold, wait_for_update(shared, era, &query)).await;
-    let reply = reply(shared, era, &query, received_at).ok_or(StatusCode::SERVICE_UNAVAILABLE)?;
-    let response = match pack::is_large(&reply.updates) {
-        true => packed_response(shared, &reply),
-        false => encode_reply(&reply).map(plain_response),
-    };
-    response.map_err(|error| report_encoding(shared, &error))
-}
-
-/// Encodes a reply, followed by what builds without it ignore.
-fn encode_reply(reply: &Reply) -> Result<Vec<u8>, pack::Error> {
-    let mut bytes = rmp_serde::to_vec(reply)?;
-    pack::append_sequences(&mut bytes, &reply.updates)?;
-    Ok(bytes)
-}
-
-/// Returns what this entry holds, for a peer that starts and knows `era`.
-fn held_response<P>(shared: &Shared<P>, era: Era) -> Result<Response<Full<Bytes>>, StatusCode> {
-    let hold = shared.settings().bounds.restore_hold();
-    let held = shared.mirror().held(shared.now(), era, hold);
-    let bytes = rmp_serde::to_vec(&held).map_err(pack::Error::from);
-    bytes.map(plain_response).map_err(|error| report_encoding(shared, &error))
-}
-
-/// Logs that a reply can't be encoded.
-fn report_encoding<P>(shared: &Shared<P>, error: &pack::Error) -> StatusCode {
-    let reason = error.to_string();
-    let event = Event::Lost { dependency: "relay", kind: Kind::Instances, reason: &reason };
-    shared.journal.note(&event);
-    StatusCode::INTERNAL_SERVER_ERROR
-}
-
-fn plain_response(bytes: Vec<u8>) -> Response<Full<Bytes>> {
-    Response::new(Full::new(Bytes::from(bytes)))
-}
-
-fn packed_response<P>(
-    shared: &Shared<P>,
-    reply: &Reply,
-) -> Result<Response<Full<Bytes>>, pack::Error> {
-    let packed = shared.packer.pack(shared.era(), &reply.updates)?;
-    let mut response = Response::new(Full::new(packed));
-    response.headers_mut().insert(AGE_HEADER, reply.age_ms.into());
-    response.headers_mut().insert(HELD_HEADER, reply.held_ms.into());
-    Ok(response)
-}
-
-/// Returns the reply to `query`, or `None` while this entry has no configuration.
-fn reply<P>(shared: &Shared<P>, era: Era, query: &Query, received_at: Time) -> Option<Reply> {
-    let now = shared.now();
-    let mirror = shared.mirror();
-    let confirmed_at = mirror.confirmed_at(Kind::Config)?;
-    let updates = query.since(era).filter_map(|(kind, since)| mirror.update_since(kind, since));
-    Some(Reply {
-        updates: updates.collect(),
-        age_ms: millis(now.since(confirmed_at)),
-        held_ms: millis(now.since(received_at)),
-    })
-}
-
-impl Query {
-    /// Returns the kinds, each with the version of `era` that the peer has.
-    fn since(&self, era: Era) -> impl Iterator<Item = (Kind, Option<Version>)> {
-        let since = self.since.iter();
-        since.map(move |(kind, since)| (*kind, since.map(|revision| Version { era, revision })))
-    }
-}
-
-/// Waits until the peer lacks an update and this entry's mirror is fresh.
-async fn wait_for_update<P: Platform>(shared: &Shared<P>, era: Era, query: &Query) {
-    loop {
-        let changed = shared.mirror_changed.notified();
-        tokio::pin!(changed);
-        changed.as_mut().enable();
-        if is_behind(shared, era, query) && is_fresh(shared) {
-            return;
-        }
-        // No notification comes when the mirror becomes fresh again, so this is polled.
-        let _elapsed = timeout(POLL_INTERVAL, changed).await;
-    }
-}
-
-/// Returns whether the mirror was confirmed recently enough for a peer to accept its updates.
-fn is_fresh<P>(shared: &Shared<P>) -> bool {
-    let max_age = shared.settings().bounds.max_relay_age();
-    let confirmed_at = shared.mirror().confirmed_at(Kind::Config);
-    confirmed_at.is_some_and(|it| shared.now().since(it) < max_age)
-}
-
-/// Returns whether the mirror has an update for the peer.
-fn is_behind<P>(shared: &Shared<P>, era: Era, query: &Query) -> bool {
-    let mirror = shared.mirror();
-    query.since(era).any(|(kind, since)| mirror.has_update(kind, since))
-}
-
 /// Follows the store through the peer that reads it for this entry, until the process ends. Sets
 /// `source` to that peer, or to the store while there is no such peer.
 pub(crate) async fn follow<P: Platform>(shared: Arc<Shared<P>>, source: watch::Sender<Source>) {
@@ -498,7 +330,7 @@
 fn decode_reply(bytes: &[u8]) -> Result<Reply, Error> {
     let mut rest = bytes;
     let mut reply: Reply = rmp_serde::from_read(&mut rest)?;
-    pack::read_sequences(rest, &mut reply.updates);
+    pack::read_sequences(rest, &mut reply.updates)?;
     Ok(reply)
 }
 
--- a/gateway/src/relay/pack.rs
+++ b/gateway/src/relay/pack.rs
@@ -89,7 +89,7 @@
     DeflateDecoder::new(bytes).take(MAX_UNPACKED_BYTES).read_to_end(&mut unpacked)?;
     let mut rest = unpacked.as_slice();
     let mut updates: Vec<Update> = rmp_serde::from_read(&mut rest)?;
-    read_sequences(rest, &mut updates);
+    read_sequences(rest, &mut updates)?;
     Ok(updates)
 }
 
@@ -112,8 +112,15 @@
 
 /// Sets the sequences of the instances in `updates` from the bytes behind their encoded form. A
 /// build that doesn't know them appends none, and the instances keep none.
-pub fn read_sequences(rest: &[u8], updates: &mut [Update]) {
-    let sequences: Vec<Option<u64>> = rmp_serde::from_slice(rest).unwrap_or_default();
+///
+/// # Errors
+///
+/// Returns an error if there are such bytes and they aren't sequences.
+pub fn read_sequences(rest: &[u8], updates: &mut [Update]) -> Result<(), rmp_serde::decode::Error> {
+    if rest.is_empty() {
+        return Ok(());
+    }
+    let sequences: Vec<Option<u64>> = rmp_serde::from_slice(rest)?;
     let objects =
         updates.iter_mut().flat_map(|it| it.list.iter_mut().flatten().chain(&mut it.changes.put));
     let instances = objects.filter_map(|it| match &mut it.object {
@@ -123,4 +130,5 @@
     for (instance, sequence) in instances.zip(sequences) {
         instance.sequence = sequence;
     }
+    Ok(())
 }
--- a/gateway/tests/pack.rs
+++ b/gateway/tests/pack.rs
@@ -1,9 +1,11 @@
 //! Tests of the compressed updates that are encoded once for all peers.
 
 use decision::gateway::era::Era;
+use decision::gateway::fleet::{Instance, Phase};
+use decision::prelude::*;
 use gateway::mirror::Update;
 use gateway::port::{Changes, Entry, Item, Kind, Object};
-use gateway::relay::pack::{Error, Packer, is_large, unpack};
+use gateway::relay::pack::{Error, Packer, append_sequences, is_large, read_sequences, unpack};
 
 fn update(revision: u64, count: u64, is_whole: bool) -> Update {
     let item = |index: u64| Item {
@@ -58,6 +60,58 @@
     assert_ne!(few, more);
 }
 
+/// Returns an update with one instance that has registered four times.
+fn instance_update() -> Update {
+    let instance = Instance {
+        id: "i1".into(),
+        service: "s".into(),
+        address: ([10, 0, 0, 1], 8_000).into(),
+        failure_domain: "a".into(),
+        phase: Phase::Ready,
+        slots: 4,
+        warmup_left: Duration::ZERO,
+        fabric_domain: None,
+        staged: Vec::new(),
+        model: None,
+        member: None,
+        incarnation: 1,
+        sequence: Some(4),
+    };
+    let object = Object::Instance(Box::new(instance));
+    let put = vec![Item { name: "i1".into(), revision: 7, object }];
+    let changes = Changes { revision: 7, put, ..Changes::default() };
+    Update { kind: Kind::Instances, list: None, changes }
+}
+
+fn sequence_of(updates: &[Update]) -> Option<u64> {
+    match &updates[0].changes.put[0].object {
+        Object::Instance(instance) => instance.sequence,
+        _ => None,
+    }
+}
+
+#[test]
+fn the_sequence_of_an_instance_comes_out_as_it_went_in() {
+    let packed = Packer::default().pack(Era(1), &[instance_update()]);
+    let unpacked = unpack(&packed.expect("the updates can be packed"));
+    assert_eq!(sequence_of(&unpacked.expect("the updates can be unpacked")), Some(4));
+}
+
+/// Earlier builds decode the first value and ignore what follows; they append nothing.
+#[test]
+fn builds_without_sequences_read_and_are_read() {
+    let updates = [instance_update()];
+    let mut encoded = rmp_serde::to_vec(&updates).expect("the updates can be encoded");
+    let earlier = encoded.clone();
+    append_sequences(&mut encoded, &updates).expect("the sequences can be encoded");
+    let read: Vec<Update> = rmp_serde::from_slice(&encoded).expect("an earlier build reads them");
+    assert_eq!(sequence_of(&read), None);
+    let mut read: Vec<Update> = rmp_serde::from_slice(&earlier).expect("updates");
+    assert!(read_sequences(&[], &mut read).is_ok());
+    assert_eq!(sequence_of(&read), None);
+    assert!(read_sequences(b"\x93\x01", &mut read).is_err());
+}
+
 #[test]
 fn only_long_lists_are_packed() {
     assert!(is_large(&[update(1, 0, true), update(1, 64, true)]));
