--- a/decision/src/gateway/budget.rs
+++ b/decision/src/gateway/budget.rs
@@ -27,6 +27,24 @@
     buckets: VecDeque<Bucket>,
 }
 
+/// What a budget allows at one moment, and why.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Usage {
+    /// Callers' requests within the window.
+    pub requests: u32,
+    /// Retries within the window.
+    pub retries: u32,
+    /// Largest number of retries that this entry may send within the window.
+    pub allowed: f64,
+}
+
+impl Usage {
+    /// Returns whether one more retry may be sent.
+    pub fn has_room(&self) -> bool {
+        f64::from(self.retries) + 1.0 <= self.allowed
+    }
+}
+
 /// Counts of one part of the window.
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
@@ -52,15 +70,14 @@
         self.current_bucket(now).requests += 1;
     }
 
-    /// Returns whether this entry may send one more retry. The slack is divided evenly among
-    /// `entries`.
-    pub fn has_room(&mut self, now: Time, entries: usize) -> bool {
+    /// Returns what this entry has used and may use. The slack is divided evenly among `entries`.
+    pub fn usage(&mut self, now: Time, entries: usize) -> Usage {
         self.current_bucket(now);
         let requests: u32 = self.buckets.iter().map(|it| it.requests).sum();
         let retries: u32 = self.buckets.iter().map(|it| it.retries).sum();
         let slack = self.settings.slack / entries.max(1) as f64;
         let allowed = self.settings.ratio * f64::from(requests) + slack;
-        f64::from(retries) + 1.0 <= allowed
+        Usage { requests, retries, allowed }
     }
 
     /// Counts a retry that is sent.
--- a/decision/tests/gateway/budget.rs
+++ b/decision/tests/gateway/budget.rs
@@ -5,7 +5,7 @@
 
 /// Sends a retry if the budget allows one.
 fn try_retry(budget: &mut Budget, now: Time, entries: usize) -> bool {
-    let has_room = budget.has_room(now, entries);
+    let has_room = budget.usage(now, entries).has_room();
     if has_room {
         budget.record_retry(now);
     }
--- a/gateway/src/journal.rs
+++ b/gateway/src/journal.rs
@@ -109,6 +109,19 @@
     },
     /// An attempt failed.
     Failed { request: &'a str, target: &'a str, reason: &'a str, ran: &'a str, after_ms: u64 },
+    /// Whether a request may be sent once more, by this entry's share of the retry budget.
+    Retry {
+        request: &'a str,
+        service: &'a str,
+        granted: bool,
+        /// Callers' requests to the service within the window of the budget.
+        requests: u32,
+        /// Retries to the service within the window, without this one.
+        retries: u32,
+        allowed: f64,
+        /// Entries that the slack of the budget is divided among.
+        entries: usize,
+    },
     /// A stream continues at another target.
     Resumed { request: &'a str, target: &'a str, last_event: &'a str, after_ms: u64 },
     /// A request got its final response.
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -111,7 +111,7 @@
         let attempts = self.route.max_attempts.max(1);
         (self.attempted.len() as u32) + 1 < attempts
             && self.send_count < attempts + EXTRA_SENDS
-            && self.shared.may_retry(&self.service.name)
+            && self.shared.retry_usage(&self.service.name).has_room()
     }
 
     /// Chooses a target and reserves a slot there. If all targets are busy, waits in the backlog
@@ -127,7 +127,7 @@
         }
         let requirements = self.requirements(now, is_resumed);
         let is_retry = self.send_count > 0;
-        if is_retry && !self.shared.may_retry(&self.service.name) {
+        if is_retry && !self.is_retry_granted() {
             return Err(Denial::RetryBudgetSpent);
         }
         if !is_retry {
@@ -148,6 +148,25 @@
         slot
     }
 
+    /// Returns whether the retry budget allows one more retry. Logs and counts the decision.
+    fn is_retry_granted(&self) -> bool {
+        let service = &self.service.name;
+        let usage = self.shared.retry_usage(service);
+        let granted = usage.has_room();
+        let labels = format!("service=\"{service}\",granted=\"{granted}\"");
+        self.shared.metrics.count("rhubarblatch_retries_total", &labels);
+        self.shared.journal.note(&Event::Retry {
+            request: &self.head.id,
+            service,
+            granted,
+            requests: usage.requests,
+            retries: usage.retries,
+            allowed: (usage.allowed * 10.0).round() / 10.0,
+            entries: self.shared.knowledge().entries.len(),
+        });
+        granted
+    }
+
     fn choose_target(&self, now: Time, requirements: &Requirements) -> Result<Slot<P>, Denial> {
         // Requests that already wait go first.
         if !requirements.is_resumed && self.shared.wait_queue.has_waiting(&self.lane(requirements))
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwap;
 use decision::gateway::balance::{self, Balancer, Target};
-use decision::gateway::budget::{self, Budget};
+use decision::gateway::budget::{self, Budget, Usage};
 use decision::gateway::era::Era;
 use decision::gateway::exchange::{self, Rank};
 use decision::gateway::fleet::{self, Fleet};
@@ -258,11 +258,11 @@
         self.budget(service, |it| it.record_request(now));
     }
 
-    /// Returns whether this entry's share of the retry budget of `service` allows one more retry.
-    pub(crate) fn may_retry(&self, service: &Arc<str>) -> bool {
+    /// Returns the use of this entry's share of the retry budget of `service`.
+    pub(crate) fn retry_usage(&self, service: &Arc<str>) -> Usage {
         let now = self.now();
         let entries = self.knowledge().entries.len();
-        self.budget(service, |it| it.has_room(now, entries))
+        self.budget(service, |it| it.usage(now, entries))
     }
 
     /// Counts a retry to `service` in its retry budget.
