Earn retries only by the requests within the window

What callers saw: nothing by itself; retries could exceed the rule by some in a hundred under saturation.

Cause: the budget keeps its counts in 20 buckets and drops one once it is older than the window and a bucket. That errs on the safe side for retries, and on the other one for requests: those of 10.5 s earned retries for 10 s.

`requests_older_than_the_window_earn_no_retries` failed before.

--- a/decision/src/gateway/budget.rs
+++ b/decision/src/gateway/budget.rs
@@ -73,7 +73,8 @@
     /// Returns what this entry has used and may use. The slack is divided evenly among `entries`.
     pub fn usage(&mut self, now: Time, entries: usize) -> Usage {
         self.current_bucket(now);
-        let requests: u32 = self.buckets.iter().map(|it| it.requests).sum();
+        let recent = self.buckets.iter().filter(|it| now.since(it.start) <= self.settings.window);
+        let requests: u32 = recent.map(|it| it.requests).sum();
         let retries: u32 = self.buckets.iter().map(|it| it.retries).sum();
         let slack = self.settings.slack / entries.max(1) as f64;
         let allowed = self.settings.ratio * f64::from(requests) + slack;
--- a/decision/tests/gateway/budget.rs
+++ b/decision/tests/gateway/budget.rs
@@ -47,3 +47,13 @@
     }
     assert!(retried.len() >= 6, "the budget recovers: {retried:?}");
 }
+
+/// Guards against retries that requests before the window would earn.
+#[test]
+fn requests_older_than_the_window_earn_no_retries() {
+    let mut budget = budget();
+    (0..100).for_each(|_| budget.record_request(at(0)));
+    let allowed = |budget: &mut Budget, now| budget.usage(at(now), usize::MAX).allowed;
+    assert!(allowed(&mut budget, 10_000) >= 20.0);
+    assert!(allowed(&mut budget, 10_001) < 1.0);
+}
