Give a restarted entry no share of the retry slack for a window

Cause: the slack is divided among the listed entries, and each entry counts in its memory what it has spent. A start after a kill has spent nothing, so that every start spends its share anew. Class of fault: a quota whose use is kept in memory that the quota outlives. Two more ways to the same by reading: an entry with a short or no list took a large part, up to the whole slack, and those that lapse gave theirs to the others at once while they still used it, or had.

Evidence: one kill of all entries is enough, and 64 entries were known at each decision (line `retry`), none of which exceeded its own allowance.

Why it works: a share begins a window after its start was first listed, when all that an earlier start can have spent is out of every window that holds a retry of this one. It is one part in the most entries listed within the window, and nothing while the entry is unlisted or out of touch for a window. The ratio's part needs no such rule, as each request is counted by one start.

`all_entries_together_keep_to_the_budget_over_restarts` (cases 3 to 5) and `a_restarted_entry_sends_no_retries_of_the_slack_for_a_window` fail with the rule off.

--- a/decision/src/gateway/budget.rs
+++ b/decision/src/gateway/budget.rs
@@ -1,8 +1,12 @@
 //! Retry budget of a service. Each entry keeps to its own part, so that the budget holds for all
 //! entries together.
 
+mod share;
+
 use std::collections::VecDeque;
 
+pub use share::Share;
+
 use crate::prelude::*;
 
 /// Number of buckets that a window is divided into.
@@ -70,14 +74,13 @@
         self.current_bucket(now).requests += 1;
     }
 
-    /// Returns what this entry has used and may use. The slack is divided evenly among `entries`.
-    pub fn usage(&mut self, now: Time, entries: usize) -> Usage {
+    /// Returns what this entry has used and may use. `share` is its part of the slack, from 0 to 1.
+    pub fn usage(&mut self, now: Time, share: f64) -> Usage {
         self.current_bucket(now);
         let recent = self.buckets.iter().filter(|it| now.since(it.start) <= self.settings.window);
         let requests: u32 = recent.map(|it| it.requests).sum();
         let retries: u32 = self.buckets.iter().map(|it| it.retries).sum();
-        let slack = self.settings.slack / entries.max(1) as f64;
-        let allowed = self.settings.ratio * f64::from(requests) + slack;
+        let allowed = self.settings.ratio * f64::from(requests) + self.settings.slack * share;
         Usage { requests, retries, allowed }
     }
 
--- a/gateway/src/apply.rs
+++ b/gateway/src/apply.rs
@@ -80,6 +80,10 @@
 fn apply<P>(shared: &Shared<P>, mirror: &Mirror, kind: Kind, new_changes: Changes) {
     let mut knowledge = shared.knowledge();
     copy_confirmation(&mut knowledge, mirror, kind, shared.now());
+    if kind == Kind::Config {
+        // All kinds are read from the same source, and this one is confirmed most often.
+        shared.retries.record_confirmation(mirror.confirmed_at(kind));
+    }
     if new_changes.is_empty() {
         return;
     }
@@ -99,7 +103,8 @@
             knowledge.fleet.set_evacuated(mirror.items(kind).map(|it| it.name.clone()))
         }
         Kind::Entries => {
-            knowledge.entries = mirror.items(kind).filter_map(readable_entry).collect()
+            knowledge.entries = mirror.items(kind).filter_map(readable_entry).collect();
+            record_entries(shared, &knowledge);
         }
         Kind::Leases => return,
     }
@@ -108,6 +113,14 @@
     shared.refresh_targets();
 }
 
+/// Tells the retry budgets how many entries there are, and whether this one is listed.
+fn record_entries<P>(shared: &Shared<P>, knowledge: &Knowledge) {
+    let settings = shared.settings();
+    let is_listed = knowledge.entries.contains_key(&*settings.instance);
+    let entries = knowledge.entries.len();
+    shared.retries.record_list(shared.now(), &settings.bounds, entries, is_listed);
+}
+
 /// Copies the time at which a kind was last known to be up to date.
 fn copy_confirmation(knowledge: &mut Knowledge, mirror: &Mirror, kind: Kind, now: Time) {
     let Some(confirmed_at) = mirror.confirmed_at(kind) else { return };
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -124,6 +124,7 @@
             instance: &settings.instance,
             failure_domain: &settings.failure_domain,
             version: env!("CARGO_PKG_VERSION"),
+            first_start: settings.first_start,
         });
         let (stop, stopped) = watch::channel(false);
         let mut tasks = JoinSet::new();
--- a/gateway/src/journal.rs
+++ b/gateway/src/journal.rs
@@ -34,7 +34,7 @@
 #[serde(tag = "event", rename_all = "snake_case")]
 pub(crate) enum Event<'a> {
     /// The process has started.
-    Started { instance: &'a str, failure_domain: &'a str, version: &'a str },
+    Started { instance: &'a str, failure_domain: &'a str, version: &'a str, first_start: bool },
     /// The process was asked to stop.
     Stopping { open: usize },
     /// The settings were read again.
@@ -121,6 +121,8 @@
         allowed: f64,
         /// Entries that the slack of the budget is divided among.
         entries: usize,
+        /// Whether this entry has a share of the slack now.
+        has_share: bool,
     },
     /// A stream continues at another target.
     Resumed { request: &'a str, target: &'a str, last_event: &'a str, after_ms: u64 },
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! | modules | purpose |
 //! | --- | --- |
-//! | `intake`, `routing`, `request`, `slot`, `call`, `stream`, `reason`, `refusal` | handling of callers' requests |
+//! | `intake`, `routing`, `request`, `retry`, `slot`, `call`, `stream`, `reason`, `refusal` | handling of callers' requests |
 //! | `follow`, `relay`, [`mirror`], `apply` | objects of the store, read from it or from a peer |
 //! | `inform` | what peers know better than a store that was restored |
 //! | `owner`, `order` | orders to instances, given by one entry at a time |
@@ -38,6 +38,7 @@
 mod refusal;
 pub mod relay;
 mod request;
+mod retry;
 mod routing;
 pub mod settings;
 mod slot;
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -111,7 +111,7 @@
         let attempts = self.route.max_attempts.max(1);
         (self.attempted.len() as u32) + 1 < attempts
             && self.send_count < attempts + EXTRA_SENDS
-            && self.shared.retry_usage(&self.service.name).has_room()
+            && self.shared.retry_verdict(&self.service.name).granted
     }
 
     /// Chooses a target and reserves a slot there. If all targets are busy, waits in the backlog
@@ -151,20 +151,20 @@
     /// Returns whether the retry budget allows one more retry. Logs and counts the decision.
     fn is_retry_granted(&self) -> bool {
         let service = &self.service.name;
-        let usage = self.shared.retry_usage(service);
-        let granted = usage.has_room();
-        let labels = format!("service=\"{service}\",granted=\"{granted}\"");
+        let verdict = self.shared.retry_verdict(service);
+        let labels = format!("service=\"{service}\",granted=\"{}\"", verdict.granted);
         self.shared.metrics.count("rhubarblatch_retries_total", &labels);
         self.shared.journal.note(&Event::Retry {
             request: &self.head.id,
             service,
-            granted,
-            requests: usage.requests,
-            retries: usage.retries,
-            allowed: (usage.allowed * 10.0).round() / 10.0,
-            entries: self.shared.knowledge().entries.len(),
+            granted: verdict.granted,
+            requests: verdict.usage.requests,
+            retries: verdict.usage.retries,
+            allowed: (verdict.usage.allowed * 10.0).round() / 10.0,
+            entries: verdict.entries,
+            has_share: verdict.share > 0.0,
         });
-        granted
+        verdict.granted
     }
 
     fn choose_target(&self, now: Time, requirements: &Requirements) -> Result<Slot<P>, Denial> {
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -222,6 +222,11 @@
         Duration::from_millis(self.config_ms) * 3 / 4
     }
 
+    /// Returns the window over which requests and retries are counted.
+    pub fn retry_window(&self) -> Duration {
+        Duration::try_from_secs_f64(self.retry_window_s).unwrap_or(Duration::MAX)
+    }
+
     /// Returns the largest age of the configuration at which an entry is ready.
     pub fn max_config_age_for_ready(&self) -> Duration {
         Duration::from_millis(self.revoke_ms) * 7 / 10
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -6,7 +6,6 @@
 
 use arc_swap::ArcSwap;
 use decision::gateway::balance::{self, Balancer, Target};
-use decision::gateway::budget::{self, Budget, Usage};
 use decision::gateway::era::Era;
 use decision::gateway::exchange::{self, Rank};
 use decision::gateway::fleet::{self, Fleet};
@@ -23,6 +22,7 @@
 use crate::pool::{self, Pool};
 use crate::port::Entry;
 use crate::relay::pack::Packer;
+use crate::retry::{Retries, Verdict};
 use crate::settings::Settings;
 use crate::wait::WaitQueue;
 
@@ -55,6 +55,8 @@
     pub(crate) fleet_changed: Notify,
     /// Number of open connections of callers.
     pub(crate) open_connections: AtomicUsize,
+    /// Retry budgets of the services.
+    pub(crate) retries: Retries,
     /// Whether a caller's request has arrived, here or at a peer.
     pub(crate) has_seen_request: AtomicBool,
     /// Whether the store answered the last request for the configuration.
@@ -77,7 +79,6 @@
     mirror: Mutex<Mirror>,
     knowledge: Mutex<Knowledge>,
     balance: Mutex<Balancer>,
-    budgets: Mutex<HashMap<Arc<str>, Budget>>,
 }
 
 /// What this entry knows of the store's objects, and since when.
@@ -120,6 +121,7 @@
             ..pool::Settings::default()
         };
         let buffer_limiter = Limiter::of_memory(settings.memory_bytes());
+        let retries = Retries::new(settings.first_start);
         Shared {
             platform,
             buffer_limiter,
@@ -134,6 +136,7 @@
             load_changed: Notify::new(),
             fleet_changed: Notify::new(),
             open_connections: AtomicUsize::new(0),
+            retries,
             has_seen_request: AtomicBool::new(false),
             store_up: AtomicBool::new(false),
             peers: Peers::default(),
@@ -146,7 +149,6 @@
             mirror: Mutex::default(),
             knowledge: Mutex::default(),
             balance: Mutex::new(Balancer::new(balance)),
-            budgets: Mutex::default(),
         }
     }
 
@@ -254,33 +256,17 @@
 
     /// Counts a caller's request to `service` in its retry budget.
     pub(crate) fn count_request(&self, service: &Arc<str>) {
-        let now = self.now();
-        self.budget(service, |it| it.record_request(now));
+        self.retries.record_request(self.now(), &self.settings().bounds, service);
     }
 
-    /// Returns the use of this entry's share of the retry budget of `service`.
-    pub(crate) fn retry_usage(&self, service: &Arc<str>) -> Usage {
-        let now = self.now();
-        let entries = self.knowledge().entries.len();
-        self.budget(service, |it| it.usage(now, entries))
+    /// Decides whether one more retry may be sent to `service`.
+    pub(crate) fn retry_verdict(&self, service: &Arc<str>) -> Verdict {
+        self.retries.verdict(self.now(), &self.settings().bounds, service)
     }
 
     /// Counts a retry to `service` in its retry budget.
     pub(crate) fn count_retry(&self, service: &Arc<str>) {
-        let now = self.now();
-        self.budget(service, |it| it.record_retry(now));
-    }
-
-    /// Calls `with` on the retry budget of `service`.
-    fn budget<T>(&self, service: &Arc<str>, with: impl FnOnce(&mut Budget) -> T) -> T {
-        let bounds = &self.settings().bounds;
-        let settings = budget::Settings {
-            ratio: bounds.retry_ratio,
-            window: Duration::from_secs_f64(bounds.retry_window_s),
-            slack: bounds.retry_slack,
-        };
-        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        with(budgets.entry(service.clone()).or_insert_with(|| Budget::new(settings)))
+        self.retries.record_retry(self.now(), &self.settings().bounds, service);
     }
 
     /// Returns whether this entry should get new connections: it is not stopping, its configuration
