Count a retry when it is granted, not after its wait for a target

What callers saw: retries beyond the budget without any restart, and streams that broke off with 'budget spent' although their silent replica might have gone on.

All requests that waited at one moment passed the same check. In the same way each silent stream of one replica saw room for one retry, broke off, and all but one of them found the budget spent.

A stream that is left for its silence holds its permit from then on.

--- a/decision/src/gateway/budget.rs
+++ b/decision/src/gateway/budget.rs
@@ -84,11 +84,19 @@
         Usage { requests, retries, allowed }
     }
 
-    /// Counts a retry that is sent.
+    /// Counts a retry that is going to be sent.
     pub fn record_retry(&mut self, now: Time) {
         self.current_bucket(now).retries += 1;
     }
 
+    /// Takes back a retry counted at `recorded_at`, which is not sent after all.
+    pub fn cancel_retry(&mut self, recorded_at: Time) {
+        let bucket = self.buckets.iter_mut().rfind(|it| it.start <= recorded_at);
+        if let Some(bucket) = bucket {
+            bucket.retries = bucket.retries.saturating_sub(1);
+        }
+    }
+
     /// Returns the bucket that `now` falls into, and drops buckets that are older than the window.
     fn current_bucket(&mut self, now: Time) -> &mut Bucket {
         let window = self.settings.window;
--- a/decision/tests/gateway/budget.rs
+++ b/decision/tests/gateway/budget.rs
@@ -49,6 +49,20 @@
     assert!(retried.len() >= 6, "the budget recovers: {retried:?}");
 }
 
+#[test]
+fn a_retry_that_is_taken_back_leaves_room_for_another() {
+    let mut budget = budget();
+    assert!(try_retry(&mut budget, at(0), 0.125));
+    budget.record_request(at(900));
+    assert!(!try_retry(&mut budget, at(900), 0.125));
+    budget.cancel_retry(at(0));
+    assert!(try_retry(&mut budget, at(900), 0.125));
+    budget.cancel_retry(at(900));
+    budget.record_request(at(30_000));
+    budget.cancel_retry(at(900));
+    assert_eq!(budget.usage(at(30_000), 0.125).retries, 0);
+}
+
 /// Guards against retries that requests before the window would earn.
 #[test]
 fn requests_older_than_the_window_earn_no_retries() {
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -19,6 +19,7 @@
 use crate::port::{Envelope, Head, Malformed, Outgoing, Platform};
 use crate::reason::Reason;
 use crate::refusal::{Denial, Refusal};
+use crate::retry::Permit;
 use crate::slot::Slot;
 use crate::state::Shared;
 use crate::wait;
@@ -85,6 +86,8 @@
     pub(crate) excluded: Vec<Key>,
     /// Number of times that the request was sent.
     pub(crate) send_count: u32,
+    /// Permission to send the request once more, if it was granted before a target is sought.
+    pub(crate) permit: Option<Permit<P>>,
     /// Version of the configuration, and its age when the request arrived.
     pub(crate) knowledge: (u64, Duration),
 }
@@ -126,11 +129,11 @@
             return Err(Denial::DeadlinePassed);
         }
         let requirements = self.requirements(now, is_resumed);
-        let is_retry = self.send_count > 0;
-        if is_retry && !self.is_retry_granted() {
-            return Err(Denial::RetryBudgetSpent);
-        }
-        if !is_retry {
+        let permit = match self.send_count {
+            0 => None,
+            _ => Some(self.take_permit().ok_or(Denial::RetryBudgetSpent)?),
+        };
+        if permit.is_none() {
             self.shared.balance().record_request(now, &self.service.name, &requirements);
         }
         let slot = match self.choose_target(now, &requirements) {
@@ -141,15 +144,19 @@
         };
         if slot.is_ok() {
             self.shared.load_changed.notify_one();
-            if is_retry {
-                self.shared.count_retry(&self.service.name);
-            }
+            permit.into_iter().for_each(Permit::record_use);
         }
         slot
     }
 
-    /// Returns whether the retry budget allows one more retry. Logs and counts the decision.
-    fn is_retry_granted(&self) -> bool {
+    /// Returns the permit of an earlier decision to send the request once more, or else asks for
+    /// one.
+    fn take_permit(&mut self) -> Option<Permit<P>> {
+        self.permit.take().or_else(|| self.request_permit())
+    }
+
+    /// Asks for a permit to send the request once more. Logs and counts the decision.
+    pub(crate) fn request_permit(&self) -> Option<Permit<P>> {
         let service = &self.service.name;
         let verdict = self.shared.retry_verdict(service);
         let labels = format!("service=\"{service}\",granted=\"{}\"", verdict.granted);
@@ -164,7 +171,7 @@
             entries: verdict.entries,
             has_share: verdict.share > 0.0,
         });
-        verdict.granted
+        verdict.granted.then(|| Permit::new(self.shared.clone(), service.clone()))
     }
 
     fn choose_target(&self, now: Time, requirements: &Requirements) -> Result<Slot<P>, Denial> {
--- a/gateway/src/retry.rs
+++ b/gateway/src/retry.rs
@@ -7,6 +7,7 @@
 use decision::prelude::*;
 
 use crate::settings::Bounds;
+use crate::state::Shared;
 
 /// The retry budgets of all services, and this entry's share of their slack.
 pub(crate) struct Retries {
@@ -45,10 +46,17 @@
     }
 
     /// Counts a retry to `service`.
-    pub(crate) fn record_retry(&self, now: Time, bounds: &Bounds, service: &Arc<str>) {
+    fn record_retry(&self, now: Time, bounds: &Bounds, service: &Arc<str>) {
         self.state().budget(bounds, service).record_retry(now);
     }
 
+    /// Takes back a retry to `service` that was counted at `recorded_at`.
+    fn cancel_retry(&self, recorded_at: Time, service: &Arc<str>) {
+        if let Some(budget) = self.state().budgets.get_mut(service) {
+            budget.cancel_retry(recorded_at);
+        }
+    }
+
     /// Decides whether one more retry may be sent to `service`.
     pub(crate) fn verdict(&self, now: Time, bounds: &Bounds, service: &Arc<str>) -> Verdict {
         let window = bounds.retry_window();
@@ -75,6 +83,37 @@
     }
 }
 
+/// Permission to send one retry, which is counted already. On drop it is taken back, unless the
+/// retry was sent.
+pub(crate) struct Permit<P> {
+    shared: Arc<Shared<P>>,
+    service: Arc<str>,
+    granted_at: Time,
+    is_used: bool,
+}
+
+impl<P> Permit<P> {
+    /// Counts one retry to `service`.
+    pub(crate) fn new(shared: Arc<Shared<P>>, service: Arc<str>) -> Permit<P> {
+        let granted_at = shared.now();
+        shared.retries.record_retry(granted_at, &shared.settings().bounds, &service);
+        Permit { shared, service, granted_at, is_used: false }
+    }
+
+    /// Leaves the retry counted for good.
+    pub(crate) fn record_use(mut self) {
+        self.is_used = true;
+    }
+}
+
+impl<P> Drop for Permit<P> {
+    fn drop(&mut self) {
+        if !self.is_used {
+            self.shared.retries.cancel_retry(self.granted_at, &self.service);
+        }
+    }
+}
+
 impl State {
     fn budget(&mut self, bounds: &Bounds, service: &Arc<str>) -> &mut Budget {
         let settings = budget::Settings {
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -264,11 +264,6 @@
         self.retries.verdict(self.now(), &self.settings().bounds, service)
     }
 
-    /// Counts a retry to `service` in its retry budget.
-    pub(crate) fn count_retry(&self, service: &Arc<str>) {
-        self.retries.record_retry(self.now(), &self.settings().bounds, service);
-    }
-
     /// Returns whether this entry should get new connections: it is not stopping, its configuration
     /// is fresh, and a service has a healthy target.
     pub(crate) fn is_ready(&self) -> bool {
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -231,6 +231,7 @@
                     continue;
                 }
                 if job.may_fail_over() {
+                    job.permit = job.request_permit();
                     return Err(Reason::Silent);
                 }
                 // No other target may take over, but this one may still go on: check again later.
@@ -365,6 +366,7 @@
 ) -> Result<Upstream<P>, Failure> {
     let request = job.outgoing(&slot, last_event);
     job.record_sent(&slot);
+    let mut permit = None;
     let result = {
         let exchange = exchange(job, &slot, request);
         tokio::pin!(exchange);
@@ -387,12 +389,14 @@
                     if job.route.is_idempotent() && job.may_fail_over()
                         && check_silence_before_response(job, &slot)
                     {
+                        permit = job.request_permit();
                         break Err((Failure::Silent, Completion::Failed));
                     }
                 }
             }
         }
     };
+    job.permit = permit;
     match result {
         Ok((head, body)) => Ok(Upstream { slot, head, body }),
         Err((failure, completion)) => {
