Keep the retry budget in every window that begins within the last one

Cause: an entry looked at one window, the last one. Retries that the requests of a busy first second had earned stood in later windows without these requests.

Change: a retry needs room in each window that begins within the last one. Requests count since the window's start, or since half a window earlier until half of it is over.

--- a/decision/src/gateway/budget.rs
+++ b/decision/src/gateway/budget.rs
@@ -45,7 +45,12 @@
 impl Usage {
     /// Returns whether one more retry may be sent.
     pub fn has_room(&self) -> bool {
-        f64::from(self.retries) + 1.0 <= self.allowed
+        self.room() >= 1.0
+    }
+
+    /// Returns the number of retries that may still be sent.
+    fn room(&self) -> f64 {
+        self.allowed - f64::from(self.retries)
     }
 }
 
@@ -74,16 +79,40 @@
         self.current_bucket(now).requests += 1;
     }
 
-    /// Returns what this entry has used and may use. `share` is its part of the slack, from 0 to 1.
+    /// Returns what this entry has used and may use, in the window that leaves least room. `share`
+    /// is its part of the slack, from 0 to 1.
     pub fn usage(&mut self, now: Time, share: f64) -> Usage {
         self.current_bucket(now);
-        let recent = self.buckets.iter().filter(|it| now.since(it.start) <= self.settings.window);
-        let requests: u32 = recent.map(|it| it.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|it| it.retries).sum();
+        let oldest = now.back(self.settings.window + self.bucket_length());
+        let starts = self.buckets.iter().map(|it| it.start).filter(|it| *it >= oldest);
+        let usages = starts.map(|it| self.usage_since(now, it, share));
+        let tightest = usages.min_by(|a, b| a.room().total_cmp(&b.room()));
+        tightest.unwrap_or(Usage { requests: 0, retries: 0, allowed: 0.0 })
+    }
+
+    /// Returns what this entry has used and may use in the window from `start` on. Until half of it
+    /// is over, the requests of half a window before it earn retries too: a choice by time alone,
+    /// as the sum over entries that each take their better window exceeds both.
+    fn usage_since(&self, now: Time, start: Time, share: f64) -> Usage {
+        let window = self.settings.window;
+        let half = window / 2;
+        let requests = match now.since(start) < half {
+            true => self.requests(start.back(half), start + half),
+            false => self.requests(start, start + window),
+        };
+        let since = self.buckets.iter().filter(|it| it.start >= start);
+        let retries = since.map(|it| it.retries).sum();
         let allowed = self.settings.ratio * f64::from(requests) + self.settings.slack * share;
         Usage { requests, retries, allowed }
     }
 
+    /// Returns the requests of the buckets that lie between `from` and `to`.
+    fn requests(&self, from: Time, to: Time) -> u32 {
+        let bucket_length = self.bucket_length();
+        let is_within = |it: &&Bucket| it.start >= from && it.start + bucket_length <= to;
+        self.buckets.iter().filter(is_within).map(|it| it.requests).sum()
+    }
+
     /// Counts a retry that is going to be sent.
     pub fn record_retry(&mut self, now: Time) {
         self.current_bucket(now).retries += 1;
@@ -97,11 +126,11 @@
         }
     }
 
-    /// Returns the bucket that `now` falls into, and drops buckets that are older than the window.
+    /// Returns the bucket that `now` falls into, and drops buckets that no window needs any more.
     fn current_bucket(&mut self, now: Time) -> &mut Bucket {
-        let window = self.settings.window;
-        let bucket_length = window / BUCKETS;
-        while self.buckets.front().is_some_and(|it| now.since(it.start) > window + bucket_length) {
+        let bucket_length = self.bucket_length();
+        let oldest = now.back(self.settings.window * 3 / 2 + bucket_length);
+        while self.buckets.front().is_some_and(|it| it.start < oldest) {
             self.buckets.pop_front();
         }
         if self.buckets.back().is_none_or(|it| now.since(it.start) >= bucket_length) {
@@ -110,4 +139,8 @@
         let last = self.buckets.len() - 1;
         &mut self.buckets[last]
     }
+
+    fn bucket_length(&self) -> Duration {
+        self.settings.window / BUCKETS
+    }
 }
