Spend no retry budget on sends that reach no target

What callers saw: where replicas were gone, requests were refused with 'the retry budget is spent' although hardly any of them had arrived twice.

Cause: each send after the first counted as a retry. The rule, and what the budget is for, counts arrivals beyond the first: a send without a connection burdens no target.

`a_request_that_has_reached_no_target_needs_no_budget` failed before (503).

Why it works: a send whose reason of failure says that nothing was sent leaves the request as one that has not arrived, so that the next send needs no permit.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -121,6 +121,10 @@
     let attempt = timeout_at(deadline, exchange).await;
     let (attempt, completion) =
         attempt.unwrap_or((Attempt::Unknown(Reason::NoResponse), Completion::Failed));
+    job.record_arrival(match attempt {
+        Attempt::NotRun(reason) => Some(reason),
+        Attempt::Answered(..) | Attempt::Unknown(_) => None,
+    });
     match &attempt {
         Attempt::Answered(..) => {}
         Attempt::NotRun(reason) => job.record_failure(&slot, *reason, "no"),
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -206,6 +206,7 @@
         attempted: Vec::new(),
         excluded: Vec::new(),
         send_count: 0,
+        may_have_arrived: false,
         permit: None,
         knowledge: destination.knowledge,
         route: destination.route,
--- a/gateway/src/reason.rs
+++ b/gateway/src/reason.rs
@@ -36,6 +36,11 @@
 }
 
 impl Reason {
+    /// Returns whether nothing of the request was sent.
+    pub(crate) fn is_unsent(self) -> bool {
+        matches!(self, Reason::CannotConnect | Reason::ConnectionClosed)
+    }
+
     /// Returns the name of the reason in the log.
     pub(crate) fn name(self) -> &'static str {
         match self {
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -86,6 +86,8 @@
     pub(crate) excluded: Vec<Key>,
     /// Number of times that the request was sent.
     pub(crate) send_count: u32,
+    /// Whether one of these sends may have reached a target. What did not is no retry.
+    pub(crate) may_have_arrived: bool,
     /// Permission to send the request once more, if it was granted before a target is sought.
     pub(crate) permit: Option<Permit<P>>,
     /// Version of the configuration, and its age when the request arrived.
@@ -129,11 +131,11 @@
             return Err(Denial::DeadlinePassed);
         }
         let requirements = self.requirements(now, is_resumed);
-        let permit = match self.send_count {
-            0 => None,
-            _ => Some(self.take_permit().ok_or(Denial::RetryBudgetSpent)?),
+        let permit = match self.may_have_arrived {
+            false => None,
+            true => Some(self.take_permit().ok_or(Denial::RetryBudgetSpent)?),
         };
-        if permit.is_none() {
+        if self.send_count == 0 {
             self.shared.balance().record_request(now, &self.service.name, &requirements);
         }
         let slot = match self.choose_target(now, &requirements) {
@@ -292,6 +294,12 @@
         }
     }
 
+    /// Records whether the last attempt may have reached its target, given the reason why the
+    /// target did not run it, if it did not.
+    pub(crate) fn record_arrival(&mut self, not_run: Option<Reason>) {
+        self.may_have_arrived |= !not_run.is_some_and(Reason::is_unsent);
+    }
+
     /// Logs that an attempt failed. `ran` tells whether the target ran it: `no` or `unknown`.
     pub(crate) fn record_failure(&self, slot: &Slot<P>, reason: Reason, ran: &str) {
         self.shared.journal.note(&Event::Failed {
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -397,6 +397,10 @@
         }
     };
     job.permit = permit;
+    job.record_arrival(match &result {
+        Err((Failure::NotRun(reason), _)) => Some(*reason),
+        _ => None,
+    });
     match result {
         Ok((head, body)) => Ok(Upstream { slot, head, body }),
         Err((failure, completion)) => {
