Put reloaded retry bounds in force, and reject negative ones

What operators saw: after a reload with other retry bounds, services that had got a request kept the earlier ones until the next start.

Cause: a budget took its bounds when it was made, at the first request of its service. A negative ratio or slack was taken without a word and denied retries.

Why it works: bounds are given to the budget with each use; its counts stay.

--- a/decision/src/gateway/budget.rs
+++ b/decision/src/gateway/budget.rs
@@ -74,6 +74,11 @@
         Budget { settings, buckets: VecDeque::new() }
     }
 
+    /// Puts new limits in force. What is counted stays.
+    pub fn set_settings(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
     /// Counts a caller's request.
     pub fn record_request(&mut self, now: Time) {
         self.current_bucket(now).requests += 1;
--- a/decision/tests/gateway/budget.rs
+++ b/decision/tests/gateway/budget.rs
@@ -63,6 +63,15 @@
     assert_eq!(budget.usage(at(30_000), 0.125).retries, 0);
 }
 
+/// Guards against limits that stay as they were at the first request.
+#[test]
+fn new_limits_are_in_force_at_once() {
+    let mut budget = budget();
+    assert!(try_retry(&mut budget, at(0), 0.25));
+    budget.set_settings(Settings { slack: 4.0, ratio: 0.0, window: ms(10_000) });
+    assert!(!try_retry(&mut budget, at(1), 0.25));
+}
+
 /// Guards against retries that requests before the window would earn.
 #[test]
 fn requests_older_than_the_window_earn_no_retries() {
--- a/gateway/src/retry.rs
+++ b/gateway/src/retry.rs
@@ -121,6 +121,9 @@
             window: bounds.retry_window(),
             slack: bounds.retry_slack,
         };
-        self.budgets.entry(service.clone()).or_insert_with(|| Budget::new(settings))
+        let budget = self.budgets.entry(service.clone()).or_insert_with(|| Budget::new(settings));
+        // A reload may have changed the bounds.
+        budget.set_settings(settings);
+        budget
     }
 }
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -158,6 +158,18 @@
                 });
             }
         }
+        let not_negative = [
+            ("bounds.retry_ratio", bounds.retry_ratio),
+            ("bounds.retry_slack", bounds.retry_slack),
+        ];
+        for (field, value) in not_negative {
+            if !value.is_finite() || value < 0.0 {
+                return Err(Error::Setting {
+                    field,
+                    reason: format!("must be at least 0, but is {value}"),
+                });
+            }
+        }
         if self.instance.is_empty() {
             let reason = "must not be empty".to_owned();
             return Err(Error::Setting { field: "instance", reason });
