Drop the retry budgets of services that are gone

A budget goes with its service once no window holds anything that it counted, so that a service that comes back within a window finds what was spent: `a_budget_is_in_use_until_a_window_has_passed`.

--- a/decision/src/gateway/budget.rs
+++ b/decision/src/gateway/budget.rs
@@ -79,6 +79,12 @@
         self.settings = settings;
     }
 
+    /// Returns whether a window that begins within the last one holds anything counted here.
+    pub fn is_in_use(&self, now: Time) -> bool {
+        let oldest = now.back(self.settings.window + self.bucket_length());
+        self.buckets.back().is_some_and(|it| it.start >= oldest)
+    }
+
     /// Counts a caller's request.
     pub fn record_request(&mut self, now: Time) {
         self.current_bucket(now).requests += 1;
--- a/decision/tests/gateway/budget.rs
+++ b/decision/tests/gateway/budget.rs
@@ -63,6 +63,15 @@
     assert_eq!(budget.usage(at(30_000), 0.125).retries, 0);
 }
 
+#[test]
+fn a_budget_is_in_use_until_a_window_has_passed() {
+    let mut budget = budget();
+    assert!(!budget.is_in_use(at(0)));
+    budget.record_request(at(1_000));
+    assert!(budget.is_in_use(at(11_000)));
+    assert!(!budget.is_in_use(at(12_000)));
+}
+
 /// Guards against limits that stay as they were at the first request.
 #[test]
 fn new_limits_are_in_force_at_once() {
--- a/gateway/src/retry.rs
+++ b/gateway/src/retry.rs
@@ -67,6 +67,13 @@
         Verdict { granted: usage.has_room(), usage, entries, share }
     }
 
+    /// Drops the budgets of services that are not among `services`, once nothing counted there
+    /// matters any more.
+    pub(crate) fn retain_services(&self, now: Time, services: &[Arc<str>]) {
+        let mut state = self.state();
+        state.budgets.retain(|name, it| services.contains(name) || it.is_in_use(now));
+    }
+
     /// Records the list of entries, and whether it names this one.
     pub(crate) fn record_list(&self, now: Time, bounds: &Bounds, entries: usize, is_listed: bool) {
         self.state().share.record_list(now, bounds.retry_window(), entries, is_listed);
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -299,6 +299,7 @@
             balance.set_targets(now, &service.name, service.engine.as_ref(), rate, targets);
         }
         balance.retain_services(&names);
+        self.retries.retain_services(now, &names);
         drop(balance);
         drop(knowledge);
         self.slot_freed.notify_one();
