Give a restarted or unlisted entry no share of a cold target's rate

A start after a kill knew nothing of the last second, so that the shares of both starts could fall into one second (FAILBACK). An entry that the list lacks took a part beside the others', and one without a list the whole rate.

Seen by reading.

`a_restarted_entry_sends_nothing_to_a_cold_target_for_a_second` and `an_entry_that_is_not_listed_has_no_share_of_a_cold_target` fail with the conditions off. `a_cold_target_stays_within_its_rate_over_all_entries` asked an entry that was not among the five it named; it is one of them now, with the same bounds.

Why it works: the first second of a start, but for the first start of all, is as long as the window of the rule; who is not listed is in nobody's division.

--- a/decision/src/gateway/balance.rs
+++ b/decision/src/gateway/balance.rs
@@ -56,6 +56,9 @@
     pub silence_slack: Duration,
     /// Silence beyond what the load explains that makes a target suspect before its first event.
     pub first_token_slack: Duration,
+    /// Until when an earlier start of this entry may have sent requests that count for
+    /// [`crate::gateway::warmup::WINDOW`]. None go to cold targets before.
+    pub earlier_start_until: Time,
     /// Settings of admission.
     pub admission: admission::Settings,
     /// Mean age of what peers report.
@@ -106,6 +109,7 @@
             max_trial_delay: Duration::from_secs(2),
             silence_slack: Duration::from_millis(30),
             first_token_slack: Duration::from_millis(120),
+            earlier_start_until: Time::ZERO,
             admission: admission::Settings::default(),
             peer_lag: Duration::from_millis(40),
             seed: 0,
--- a/decision/src/gateway/balance/choose.rs
+++ b/decision/src/gateway/balance/choose.rs
@@ -204,7 +204,8 @@
     }
     if state.cold_until > now {
         let share = warmup::share(pool.warmup_rate, state.hash, settings.entry_hash, entry_hashes);
-        if !state.cold_limiter.has_room(now, share) {
+        let has_history = now >= settings.earlier_start_until;
+        if !(has_history && state.cold_limiter.has_room(now, share)) {
             return Some(COLD_RETRY_MS);
         }
     }
--- a/decision/src/gateway/warmup.rs
+++ b/decision/src/gateway/warmup.rs
@@ -5,7 +5,7 @@
 use crate::prelude::*;
 
 /// Window in which requests are counted.
-const WINDOW: Duration = Duration::from_secs(1);
+pub const WINDOW: Duration = Duration::from_secs(1);
 
 /// Fraction of the rate that is used. The rest is a margin for entries that have just joined and
 /// that not all others know yet.
@@ -23,8 +23,11 @@
 ///
 /// The remainder of the division goes to those entries whose hash with the target is highest. So
 /// where there are more entries than requests, a few entries may send one each, and different ones
-/// for each target.
+/// for each target. An entry that `entries` lacks gets nothing, as the others share the whole rate.
 pub fn share(rate: f64, target: u64, entry: u64, entries: &[u64]) -> u32 {
+    if !entries.contains(&entry) {
+        return 0;
+    }
     let entry_count = u32::try_from(entries.len()).unwrap_or(u32::MAX).max(1);
     let rate = (rate * USED_FRACTION) as u32;
     let score = |candidate: u64| {
--- a/decision/tests/gateway/balance.rs
+++ b/decision/tests/gateway/balance.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use decision::gateway::balance::{
-    Balancer, Choice, Completion, Key, Load, Partition, Requirements, Settings, Target, tag,
+    Balancer, Choice, Completion, Key, Load, Partition, Requirements, Settings, Target, hash, tag,
 };
 use decision::gateway::demand::{Demand, Demands};
 use decision::prelude::*;
@@ -96,17 +96,38 @@
     send(&mut balance, at(0), &Requirements { is_resumed: true, ..requirements() });
 }
 
-#[test]
-fn a_cold_target_stays_within_its_rate_over_all_entries() {
-    let mut balance = balance(&[]);
+/// Returns the balancer of the entry `a` of five, before a cold target.
+fn balance_before_cold(earlier_start_until: Time) -> Balancer {
+    let settings = Settings {
+        failure_domain: "a".into(),
+        entry_hash: hash("a"),
+        earlier_start_until,
+        ..Settings::default()
+    };
+    let mut balance = Balancer::new(settings);
     balance.set_entries(["a", "b", "c", "d", "e"]);
     let cold = Target { slots: 100, ..target("x", "a", Some("large")) };
     set_targets(&mut balance, at(0), &[cold], ms(3_000));
-    let count = |balance: &mut Balancer, now| {
-        (0..20)
-            .filter(|_| matches!(balance.choose(now, "models", &requirements()), Choice::Send(..)))
-            .count()
-    };
+    balance
+}
+
+/// Returns how many of 20 requests are sent at `now`.
+fn count(balance: &mut Balancer, now: Time) -> usize {
+    let choices = (0..20).map(|_| balance.choose(now, "models", &requirements()));
+    choices.filter(|it| matches!(it, Choice::Send(..))).count()
+}
+
+/// Guards against a rate of cold targets that each start of an entry uses anew.
+#[test]
+fn a_restarted_entry_sends_nothing_to_a_cold_target_for_a_second() {
+    let mut balance = balance_before_cold(at(1_000));
+    assert_eq!(count(&mut balance, at(999)), 0);
+    assert!(count(&mut balance, at(1_000)) > 0);
+}
+
+#[test]
+fn a_cold_target_stays_within_its_rate_over_all_entries() {
+    let mut balance = balance_before_cold(Time::ZERO);
     // Nine tenths of 10 requests per second, over five entries.
     let first = count(&mut balance, at(0));
     assert!((1..=2).contains(&first), "{first}");
--- a/decision/tests/gateway/warmup.rs
+++ b/decision/tests/gateway/warmup.rs
@@ -19,6 +19,13 @@
     }
 }
 
+/// Guards against the whole rate for an entry that knows no other one.
+#[test]
+fn an_entry_that_is_not_listed_has_no_share_of_a_cold_target() {
+    assert_eq!(share(22.0, 1, 99, &[1, 2, 3]), 0);
+    assert_eq!(share(22.0, 1, 99, &[]), 0);
+}
+
 #[test]
 fn other_targets_are_left_to_other_entries() {
     let entries: Vec<u64> = (0..40).collect();
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -10,6 +10,7 @@
 use decision::gateway::exchange::{self, Rank};
 use decision::gateway::fleet::{self, Fleet};
 use decision::gateway::route::Table;
+use decision::gateway::warmup;
 use decision::prelude::*;
 use tokio::sync::{Notify, watch};
 
@@ -112,6 +113,10 @@
             failure_domain: settings.failure_domain.as_str().into(),
             entry_hash: balance::hash(&settings.instance),
             seed: balance::hash(&settings.instance),
+            earlier_start_until: match settings.first_start {
+                true => Time::ZERO,
+                false => Time::ZERO + warmup::WINDOW,
+            },
             ..balance::Settings::default()
         };
         let store = pool::Settings {
