Reject a retry window of more than an hour

A restarted entry waits for one window, so that longer ones than an hour make no sense. `bounds_that_make_no_sense_are_rejected_by_name`, case of an endless window, failed before: accepted.

--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -9,6 +9,9 @@
 
 use crate::error::Error;
 
+/// Longest window of the retry budgets, in seconds. A restarted entry waits for one.
+const MAX_RETRY_WINDOW_SECONDS: f64 = 3_600.0;
+
 /// The settings of one entry. Unknown fields are ignored.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct Settings {
@@ -170,6 +173,13 @@
                 });
             }
         }
+        if bounds.retry_window_s > MAX_RETRY_WINDOW_SECONDS {
+            let value = bounds.retry_window_s;
+            return Err(Error::Setting {
+                field: "bounds.retry_window_s",
+                reason: format!("must be at most {MAX_RETRY_WINDOW_SECONDS}, but is {value}"),
+            });
+        }
         if self.instance.is_empty() {
             let reason = "must not be empty".to_owned();
             return Err(Error::Setting { field: "instance", reason });
@@ -236,7 +246,7 @@
 
     /// Returns the window over which requests and retries are counted.
     pub fn retry_window(&self) -> Duration {
-        Duration::try_from_secs_f64(self.retry_window_s).unwrap_or(Duration::MAX)
+        Duration::from_secs_f64(self.retry_window_s)
     }
 
     /// Returns the largest age of the configuration at which an entry is ready.
--- a/gateway/tests/settings.rs
+++ b/gateway/tests/settings.rs
@@ -7,6 +7,7 @@
 #[rstest]
 #[case::negative_ratio("retry_ratio", -0.1, "bounds.retry_ratio")]
 #[case::negative_slack("retry_slack", -1.0, "bounds.retry_slack")]
+#[case::endless_window("retry_window_s", 1e30, "bounds.retry_window_s")]
 #[case::no_window("retry_window_s", 0.0, "bounds.retry_window_s")]
 fn bounds_that_make_no_sense_are_rejected_by_name(
     #[case] field: &str,
