--- a/decision/tests/gateway/budget.rs
+++ b/decision/tests/gateway/budget.rs
@@ -197,7 +197,8 @@
         Entry { budget: Budget::new(settings), share }
     }
 
-    fn wants_retry(&mut self, now: u64) -> bool {
+    /// Sends a retry if the budget and the share allow one.
+    fn try_retry(&mut self, now: u64) -> bool {
         let share = fraction(&mut self.share, now);
         try_retry(&mut self.budget, at(now), share)
     }
@@ -234,7 +235,7 @@
                 entry.budget.record_request(at(now));
                 requests.push(now);
             }
-            while entry.wants_retry(now) {
+            while entry.try_retry(now) {
                 retries.push(now);
             }
         }
