Give each case of a test of settings a file of its own

Two of the four cases are about `retry_window_s`, and the file was named for the field, so that one case removed or replaced the other's file. The check is unchanged.

--- a/gateway/tests/settings.rs
+++ b/gateway/tests/settings.rs
@@ -14,7 +14,7 @@
     #[case] value: f64,
     #[case] named: &str,
 ) {
-    let name = format!("rhubarblatch-{}-{field}.json", std::process::id());
+    let name = format!("rhubarblatch-{}-{field}-{value}.json", std::process::id());
     let path = std::env::temp_dir().join(name);
     let settings = json!({
         "instance": "e1", "failure_domain": "a", "store": "127.0.0.1:1",
