--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -27,5 +27,6 @@
 pub mod fleet;
 pub mod formation;
 pub mod hold;
+pub mod prompt;
 pub mod route;
 pub mod warmup;
--- a/gateway/src/journal.rs
+++ b/gateway/src/journal.rs
@@ -12,7 +12,8 @@
 
 use decision::clock::Time;
 use decision::gateway::era::Era;
-use serde::Serialize;
+use decision::gateway::prompt::Part;
+use serde::{Serialize, Serializer};
 
 use crate::clock::Clock;
 use crate::port::Kind;
@@ -108,7 +109,19 @@
         running: u32,
     },
     /// An attempt failed.
-    Failed { request: &'a str, target: &'a str, reason: &'a str, ran: &'a str, after_ms: u64 },
+    Failed {
+        request: &'a str,
+        target: &'a str,
+        reason: &'a str,
+        ran: &'a str,
+        after_ms: u64,
+        /// Time since the first event from the target; absent if there was none.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        writing_ms: Option<u64>,
+        /// Parts of the prompt that other requests may share.
+        #[serde(skip_serializing_if = "Parts::is_empty")]
+        prompt: Parts<'a>,
+    },
     /// Whether a request may be sent once more, by this entry's share of the retry budget.
     Retry {
         request: &'a str,
@@ -179,6 +192,22 @@
     Dropped { lines: u64 },
 }
 
+/// Parts of a prompt, which are written as their identifiers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Parts<'a>(pub(crate) &'a [Part]);
+
+impl Parts<'_> {
+    fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl Serialize for Parts<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(self.0.iter().map(Part::to_string))
+    }
+}
+
 /// Writes events to the log; clones share the same batch.
 #[derive(Clone, Debug)]
 pub(crate) struct Journal {
--- a/gateway/src/port.rs
+++ b/gateway/src/port.rs
@@ -11,6 +11,7 @@
 use decision::gateway::era::Era;
 use decision::gateway::fleet::{Instance, Report};
 use decision::gateway::formation::{Order, Reply};
+use decision::gateway::prompt::Prompt;
 use decision::prelude::*;
 use http::{HeaderMap, Request, StatusCode, request, response};
 use http_body_util::Full;
@@ -115,6 +116,8 @@
     pub prompt_tokens: u64,
     /// Largest number of tokens of the response.
     pub max_output_tokens: u64,
+    /// Parts of the prompt that other requests may share.
+    pub prompt: Prompt,
 }
 
 /// What a target is told along with a request.
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -14,7 +14,7 @@
 use rand::RngExt as _;
 
 use crate::body::Answer;
-use crate::journal::Event;
+use crate::journal::{Event, Parts};
 use crate::memory::Reservation;
 use crate::port::{Envelope, Head, Malformed, Outgoing, Platform};
 use crate::reason::Reason;
@@ -308,6 +308,8 @@
             reason: reason.name(),
             ran,
             after_ms: self.waited_ms(),
+            writing_ms: slot.writing_time().map(millis),
+            prompt: Parts(&self.head.prompt),
         });
     }
 
--- a/gateway/src/slot.rs
+++ b/gateway/src/slot.rs
@@ -20,6 +20,7 @@
     /// Prompt tokens that the target is still expected to process; 0 after the first event.
     prompt_tokens: u64,
     started_at: Time,
+    first_event_at: Option<Time>,
     last_event_at: Option<Time>,
     event_count: u32,
     /// Whether this entry waited for its caller before it read the next event.
@@ -44,6 +45,7 @@
             forecast,
             prompt_tokens,
             started_at,
+            first_event_at: None,
             last_event_at: None,
             event_count: 0,
             is_next_gap_ignored: false,
@@ -64,6 +66,11 @@
         }
     }
 
+    /// Returns the time since the first event; `None` if there was none.
+    pub(crate) fn writing_time(&self) -> Option<Duration> {
+        self.first_event_at.map(|it| self.shared.now().since(it))
+    }
+
     /// Excludes the gap before the next event from the target's speed, since this entry reads that
     /// event late.
     pub(crate) fn ignore_next_gap(&mut self) {
@@ -71,6 +78,7 @@
     }
 
     fn record_first_event(&mut self, now: Time) {
+        self.first_event_at = Some(now);
         let elapsed = now.since(self.started_at);
         let prompt_tokens = std::mem::take(&mut self.prompt_tokens);
         let mut balancer = self.shared.balance();
