--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -11,6 +11,7 @@
 //! | May it be sent to a target that is still warming up? | [`warmup::Limiter`] |
 //! | Which entry takes over the replicas next? | [`candidate::takeover_delay`] |
 //! | Which era of the store does a response belong to? | [`era::Tracker`] |
+//! | Which parts of prompts crash replicas and are not sent any more? | [`quarantine::Quarantine`] |
 //! | Which objects stay in force after the store was restored? | [`hold::Holds`] |
 //! | Which replicas to form, repair or end, where to stage weights? | [`formation::Formation`] |
 
@@ -28,5 +29,6 @@
 pub mod formation;
 pub mod hold;
 pub mod prompt;
+pub mod quarantine;
 pub mod route;
 pub mod warmup;
--- a/decision/src/gateway/prompt.rs
+++ b/decision/src/gateway/prompt.rs
@@ -19,6 +19,23 @@
     pub id: u64,
 }
 
+impl Part {
+    /// Returns the name under which the part is stored.
+    pub fn name(&self) -> String {
+        format!("{:08x}-{:016x}", self.model, self.id)
+    }
+
+    /// Returns the part that is stored under `name`; `None` if that is no name of a part.
+    pub fn from_name(name: &str) -> Option<Part> {
+        let (model, id) = name.split_once('-')?;
+        let part = Part {
+            model: u32::from_str_radix(model, 16).ok()?,
+            id: u64::from_str_radix(id, 16).ok()?,
+        };
+        (part.name() == name).then_some(part)
+    }
+}
+
 impl fmt::Display for Part {
     /// Writes the identifier as callers do, in hexadecimal.
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/decision/tests/gateway/main.rs
+++ b/decision/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod owner;
 mod owners;
 mod precondition;
+mod quarantine;
 mod route;
 mod simulation;
 mod spare;
--- a/gateway/src/apply.rs
+++ b/gateway/src/apply.rs
@@ -11,6 +11,7 @@
 use crate::journal::Event;
 use crate::mirror::{Held, Mirror, Outdated};
 use crate::port::{Changes, Entry, Item, Kind, Object};
+use crate::quarantine;
 use crate::state::{Knowledge, Shared};
 
 /// Applies a complete list of the objects of a kind, which was up to date at `confirmed_at`.
@@ -106,6 +107,11 @@
             knowledge.entries = mirror.items(kind).filter_map(readable_entry).collect();
             record_entries(shared, &knowledge);
         }
+        Kind::Quarantines => {
+            drop(knowledge);
+            quarantine::apply_stored(shared, &new_changes);
+            return shared.mirror_changed.notify_waiters();
+        }
         Kind::Leases => return,
     }
     drop(knowledge);
@@ -130,7 +136,7 @@
             knowledge.fleet_confirmed_at = Some(confirmed_at);
             knowledge.fleet_listed_at.get_or_insert(now);
         }
-        Kind::Evacuations | Kind::Entries | Kind::Leases => {}
+        Kind::Evacuations | Kind::Entries | Kind::Leases | Kind::Quarantines => {}
     }
 }
 
@@ -209,6 +215,7 @@
         Kind::Instances => "instances",
         Kind::Entries => "entries",
         Kind::Leases => "leases",
+        Kind::Quarantines => "quarantines",
     }
 }
 
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -10,6 +10,7 @@
 use crate::error::Call;
 use crate::pool::{Connection, Reply};
 use crate::port::{Platform, Run};
+use crate::quarantine;
 use crate::reason::Reason;
 use crate::refusal::{Denial, Refusal};
 use crate::request::{Job, Times, remove_hop_by_hop};
@@ -105,7 +106,7 @@
 }
 
 /// Makes one attempt, and logs its failure.
-async fn send<P: Platform>(job: &mut Job<P>, slot: Slot<P>) -> Attempt {
+async fn send<P: Platform>(job: &mut Job<P>, mut slot: Slot<P>) -> Attempt {
     let request = job.outgoing(&slot, None);
     job.record_sent(&slot);
     let shared = job.shared.clone();
@@ -126,7 +127,9 @@
         Attempt::Answered(..) | Attempt::Unknown(_) => None,
     });
     match &attempt {
-        Attempt::Answered(..) => {}
+        Attempt::Answered(..) => {
+            quarantine::record_answer(&shared, &mut slot, &job.head.prompt);
+        }
         Attempt::NotRun(reason) => job.record_failure(&slot, *reason, "no"),
         Attempt::Unknown(reason) => job.record_failure(&slot, *reason, "unknown"),
     }
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -23,7 +23,7 @@
 use crate::port::{self, Condition, Entry, Kind, Object, Platform};
 use crate::settings::{Listen, Settings};
 use crate::state::{Counts, Shared};
-use crate::{apply, follow, intake, owner, peers, ready, relay, wait};
+use crate::{apply, follow, intake, owner, peers, quarantine, ready, relay, wait};
 
 /// Time for which a stopping entry still accepts new connections: the platform checks its readiness
 /// once a second, and sends it no more connections after two failed checks.
@@ -137,6 +137,7 @@
         tasks.spawn(owner::run(shared.clone(), incarnation));
         tasks.spawn(register(shared.clone()));
         tasks.spawn(wait::run(shared.clone()));
+        tasks.spawn(quarantine::run(shared.clone()));
         tasks.spawn(maintain(shared.clone()));
         if let Some(metrics) = &mut addresses.metrics {
             tasks.spawn(ready::serve(shared.clone(), bind(metrics).await?));
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -32,6 +32,9 @@
 /// confirmed often.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// Time for which a watch of the quarantined parts waits. Peers tell each other sooner.
+const QUARANTINES_WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Delay after changes of instances before the next watch, so that several are read at once.
 const INSTANCES_WATCH_DELAY: Duration = Duration::from_millis(150);
 
@@ -67,8 +70,8 @@
 const FIRST_WATCH_TIMEOUT: Duration = Duration::from_millis(1);
 
 /// The kinds of objects that an entry follows.
-pub(crate) const FOLLOWED_KINDS: [Kind; 4] =
-    [Kind::Config, Kind::Instances, Kind::Evacuations, Kind::Entries];
+pub(crate) const FOLLOWED_KINDS: [Kind; 5] =
+    [Kind::Config, Kind::Instances, Kind::Evacuations, Kind::Entries, Kind::Quarantines];
 
 /// Where this entry reads the store's objects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -128,12 +131,13 @@
         lost_at: None,
         failures: 0,
     };
-    let [config, instances, evacuations, entries] = FOLLOWED_KINDS;
+    let [config, instances, evacuations, entries, quarantines] = FOLLOWED_KINDS;
     tokio::join!(
         follow(config).run(Role::Prober(reachable_sender)),
         follow(instances).run(Role::Waiter(reachable.clone())),
         follow(evacuations).run(Role::Waiter(reachable.clone())),
-        follow(entries).run(Role::Waiter(reachable)),
+        follow(entries).run(Role::Waiter(reachable.clone())),
+        follow(quarantines).run(Role::Waiter(reachable)),
         relay::follow(shared.clone(), source_sender),
         inform::run(shared.clone()),
     );
@@ -178,7 +182,9 @@
     fn is_due(&self, source: Source) -> bool {
         match source {
             Source::Store => true,
-            Source::Unknown => matches!(self.kind, Kind::Config | Kind::Entries),
+            Source::Unknown => {
+                matches!(self.kind, Kind::Config | Kind::Entries | Kind::Quarantines)
+            }
             Source::Peer => false,
         }
     }
@@ -268,6 +274,7 @@
                 self.shared.settings().bounds.cluster_config_watch_timeout()
             }
             Kind::Config => self.shared.settings().bounds.config_watch_timeout(),
+            Kind::Quarantines => QUARANTINES_WATCH_TIMEOUT,
             _ => WATCH_TIMEOUT,
         }
     }
--- a/gateway/src/inform.rs
+++ b/gateway/src/inform.rs
@@ -26,13 +26,17 @@
 /// Interval at which a starting entry checks whether it knows its peers.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Longest wait for the list of entries once the configuration is known.
-const ENTRIES_WAIT: Duration = Duration::from_millis(500);
+/// Longest wait for the lists of entries and of quarantined parts once the configuration is known.
+const LISTS_WAIT: Duration = Duration::from_millis(500);
 
-/// Asks the peers once the configuration and the entries are known, then lets this entry serve.
+/// Asks the peers once the configuration, the entries and the quarantined parts are known, then lets this entry serve.
 pub(crate) async fn run<P: Platform>(shared: Arc<Shared<P>>) {
     wait_for(&shared, Kind::Config).await;
-    let _elapsed = timeout(ENTRIES_WAIT, wait_for(&shared, Kind::Entries)).await;
+    let lists = async {
+        wait_for(&shared, Kind::Entries).await;
+        wait_for(&shared, Kind::Quarantines).await;
+    };
+    let _elapsed = timeout(LISTS_WAIT, lists).await;
     let mut asked = JoinSet::new();
     for address in first_peers(&shared) {
         let shared = shared.clone();
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -207,6 +207,7 @@
         excluded: Vec::new(),
         send_count: 0,
         may_have_arrived: false,
+        was_broken_off: false,
         permit: None,
         knowledge: destination.knowledge,
         route: destination.route,
--- a/gateway/src/journal.rs
+++ b/gateway/src/journal.rs
@@ -156,6 +156,16 @@
     Resting { target: &'a str, rest_ms: u64 },
     /// A header by which a target describes its state can't be parsed and is ignored.
     Unheeded { target: &'a str, what: &'a str, reason: &'a str },
+    /// A target that lost requests was checked: whether it crashed, and how many parts of their
+    /// prompts are suspected then.
+    Checked { target: &'a str, crashed: bool, suspects: usize },
+    /// A part of prompts is not sent to replicas any more: by whose word, and by how many crashes if
+    /// by this entry's own.
+    Quarantined { part: String, model: u32, source: &'a str, crashes: usize },
+    /// A part of prompts may be sent to replicas again.
+    Released { part: String, model: u32, reason: &'a str },
+    /// A request was withheld from replicas, since a part of its prompt crashes them.
+    Withheld { request: &'a str, part: String, model: u32 },
     /// A target became suspect: its streams are silent, or it fails requests.
     Suspect { target: &'a str, silent_ms: u64 },
     /// An instance can't be reached.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod peers;
 pub mod pool;
 pub mod port;
+mod quarantine;
 mod ready;
 mod reason;
 mod refusal;
--- a/gateway/src/mirror.rs
+++ b/gateway/src/mirror.rs
@@ -98,7 +98,11 @@
                 let count = instance.sequence?;
                 Some(Stamp { incarnation: instance.incarnation, count })
             }
-            Object::Evacuation | Object::Entry(_) | Object::Lease(_) | Object::Unreadable => None,
+            Object::Evacuation
+            | Object::Entry(_)
+            | Object::Lease(_)
+            | Object::Quarantine
+            | Object::Unreadable => None,
         }
     }
 
--- a/gateway/src/peers/hub.rs
+++ b/gateway/src/peers/hub.rs
@@ -107,7 +107,7 @@
     }
 
     /// Returns the addresses of the hubs of all failure domains but `own`.
-    fn other_hubs(&self, entries: &[Neighbor], own: &str) -> Vec<SocketAddr> {
+    pub(super) fn other_hubs(&self, entries: &[Neighbor], own: &str) -> Vec<SocketAddr> {
         let mut domains: Vec<&str> = entries.iter().map(|it| &*it.failure_domain).collect();
         domains.sort_unstable();
         domains.dedup();
@@ -132,6 +132,13 @@
         self.subscriptions.iter_mut().map(subscriber).collect()
     }
 
+    /// Returns the addresses of the peers that use this entry as their hub.
+    pub(super) fn subscribers_at(&self, now: Time) -> Vec<SocketAddr> {
+        let living =
+            self.subscriptions.values().filter(|it| now.since(it.renewed_at) < PEER_TIMEOUT);
+        living.map(|it| it.address).collect()
+    }
+
     /// Returns the living peers of this failure domain.
     fn domain_peers<'a>(&'a self, now: Time, domain: &'a str) -> impl Iterator<Item = &'a Peer> {
         self.alive(now).filter(move |it| it.failure_domain == domain)
--- a/gateway/src/peers/message.rs
+++ b/gateway/src/peers/message.rs
@@ -8,6 +8,7 @@
 
 use decision::gateway::balance::{Load, Partition};
 use decision::gateway::demand::Demands;
+use decision::gateway::quarantine::Evidence;
 use serde::de::{Error, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
@@ -25,6 +26,9 @@
 /// Most entries that are named in one message. Further ones go into further messages.
 pub(super) const MAX_NAMED_PER_MESSAGE: usize = 20;
 
+/// Most parts of prompts in one message. Further ones go into further messages.
+pub(super) const MAX_PARTS_PER_MESSAGE: usize = 60;
+
 /// Size of one load, in bytes.
 const LOAD_BYTES: usize = 10;
 
@@ -45,6 +49,8 @@
     Rest(OthersTotal),
     /// The living entries, from a hub to those that subscribed to it.
     Roll(Membership),
+    /// Crashes of targets, and the parts of prompts that may have caused them.
+    Crashes(Evidence),
 }
 
 /// An entry's own state, sent in each round.
--- a/gateway/src/peers/receive.rs
+++ b/gateway/src/peers/receive.rs
@@ -17,6 +17,7 @@
 use super::{Domain, MAX_DATAGRAM_BYTES, MAX_PEERS, PEER_RETENTION, Peer, State, Subscription};
 use crate::journal::Event;
 use crate::port::Platform;
+use crate::quarantine;
 use crate::state::Shared;
 
 /// Source under which the totals from a hub are kept in the balance, in place of a peer's hash.
@@ -68,6 +69,7 @@
         Message::Sum(total) => receive_domain_total(shared, total),
         Message::Rest(total) => receive_others_total(shared, total),
         Message::Roll(membership) => receive_membership(shared, membership),
+        Message::Crashes(evidence) => quarantine::merge(shared, &evidence),
     }
 }
 
--- a/gateway/src/peers/send.rs
+++ b/gateway/src/peers/send.rs
@@ -12,8 +12,11 @@
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 
-use super::message::{ClusterState, Heartbeat, Loads, Message, Status, VERSION};
+use super::message::{
+    ClusterState, Heartbeat, Loads, MAX_PARTS_PER_MESSAGE, Message, Status, VERSION,
+};
 use crate::port::Platform;
+use crate::quarantine;
 use crate::state::Shared;
 
 /// Longest interval between two rounds.
@@ -29,6 +32,9 @@
 /// The standby hub gets a heartbeat in one of so many rounds, so that it can take over at once.
 const STANDBY_HUB_ROUNDS: usize = 4;
 
+/// Interval at which evidence of crashes is sent again, for entries that missed some or started.
+const EVIDENCE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Most suspect targets in a message.
 pub(super) const MAX_SUSPECTS: usize = 32;
 
@@ -46,6 +52,8 @@
     pub(super) next_hub_round_at: Time,
     /// Rounds as a hub so far.
     pub(super) hub_round: usize,
+    /// Version of the evidence of crashes that was sent last, and when that was.
+    sent_evidence: (u64, Time),
 }
 
 /// Sends rounds on `socket` until the process ends.
@@ -61,6 +69,7 @@
         round: 0,
         next_hub_round_at: Time::ZERO,
         hub_round: 0,
+        sent_evidence: (0, Time::ZERO),
     };
     loop {
         sleep(if shared.has_hubs() { MIN_ROUND_INTERVAL_WITH_HUBS } else { MIN_ROUND_INTERVAL })
@@ -79,7 +88,8 @@
         let own = self.own_state();
         if !self.shared.has_hubs() {
             let others: Vec<SocketAddr> = entries.iter().map(|it| it.address).collect();
-            return self.send_heartbeat(&own, false, &others);
+            self.send_heartbeat(&own, false, &others);
+            return self.send_evidence(&others);
         }
         let hubs = self.hubs(&entries, &self.shared.settings().failure_domain);
         let own_position = hubs.iter().position(|it| it.is_none());
@@ -95,6 +105,36 @@
         if self.shared.now() >= self.next_hub_round_at {
             self.run_hub_round(&entries, &own, is_hub);
         }
+        let receivers = self.evidence_receivers(&entries, is_hub);
+        self.send_evidence(&receivers);
+    }
+
+    /// Sends what is known of crashes if that has changed, or some time ago for the last time.
+    fn send_evidence(&mut self, to: &[SocketAddr]) {
+        let now = self.shared.now();
+        let (sent_version, sent_at) = self.sent_evidence;
+        let has_changed = self.shared.quarantine().version() != sent_version;
+        if !has_changed && now.since(sent_at) < EVIDENCE_INTERVAL {
+            return;
+        }
+        let (version, evidence) = quarantine::evidence(&self.shared);
+        self.sent_evidence = (version, now);
+        for piece in evidence.split(MAX_PARTS_PER_MESSAGE) {
+            self.send_all(&Message::Crashes(piece), to);
+        }
+    }
+
+    /// Returns the addresses of the entries that get evidence from this one, in a cluster with hubs:
+    /// its hub and its standby and, from a hub, its subscribers and the other hubs.
+    fn evidence_receivers(&self, entries: &[Neighbor], is_hub: bool) -> Vec<SocketAddr> {
+        let domain = self.shared.settings().failure_domain.clone();
+        let own_hubs = self.hubs(entries, &domain).into_iter().flatten().map(|it| it.address);
+        let mut receivers: Vec<SocketAddr> = own_hubs.collect();
+        receivers.extend(self.shared.peers.state().subscribers_at(self.shared.now()));
+        if is_hub {
+            receivers.extend(self.other_hubs(entries, &domain));
+        }
+        receivers
     }
 
     /// Returns the hub of a failure domain and its standby. `None` stands for this entry.
--- a/gateway/src/port.rs
+++ b/gateway/src/port.rs
@@ -63,6 +63,9 @@
     /// Returns a request for a conditional write.
     fn put(&self, store: SocketAddr, write: &Write<'_>) -> Outgoing;
 
+    /// Returns a request that deletes an object if its revision is still `revision`.
+    fn delete(&self, store: SocketAddr, kind: Kind, name: &str, revision: u64) -> Outgoing;
+
     /// Parses the response to [`Platform::list`]. Objects that can't be read become
     /// [`Object::Unreadable`].
     ///
@@ -188,6 +191,8 @@
     Entries,
     /// The lease on the replicas.
     Leases,
+    /// Parts of prompts that are not sent to replicas.
+    Quarantines,
 }
 
 /// An object of the store.
@@ -203,6 +208,8 @@
     Entry(Entry),
     /// The lease on the replicas.
     Lease(Lease),
+    /// A part of prompts that is not sent to replicas; the name of the item tells which.
+    Quarantine,
     /// An object that can't be parsed and isn't used.
     Unreadable,
 }
--- a/gateway/src/reason.rs
+++ b/gateway/src/reason.rs
@@ -41,6 +41,11 @@
         matches!(self, Reason::CannotConnect | Reason::ConnectionClosed)
     }
 
+    /// Returns whether the target broke the attempt off, as one that crashes does.
+    pub(crate) fn is_broken(self) -> bool {
+        matches!(self, Reason::ConnectionBroke | Reason::ResponseBrokeOff | Reason::StreamBrokeOff)
+    }
+
     /// Returns the name of the reason in the log.
     pub(crate) fn name(self) -> &'static str {
         match self {
--- a/gateway/src/refusal.rs
+++ b/gateway/src/refusal.rs
@@ -17,6 +17,8 @@
     DeadlinePassed,
     /// The retry budget of the service is spent.
     RetryBudgetSpent,
+    /// A part of its prompt crashes replicas.
+    Quarantined,
 }
 
 /// A request that this entry refuses without a response from a target.
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -17,6 +17,7 @@
 use crate::journal::{Event, Parts};
 use crate::memory::Reservation;
 use crate::port::{Envelope, Head, Malformed, Outgoing, Platform};
+use crate::quarantine;
 use crate::reason::Reason;
 use crate::refusal::{Denial, Refusal};
 use crate::retry::Permit;
@@ -34,6 +35,9 @@
 /// Smallest value of `retry-after`.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// Delay after which a caller may retry a request whose prompt crashes replicas: as late as it will.
+const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
+
 /// Number of times that a request may be sent beyond the attempts of its route, as targets that
 /// did not run it don't count as attempts.
 const EXTRA_SENDS: u32 = 4;
@@ -88,6 +92,8 @@
     pub(crate) send_count: u32,
     /// Whether one of these sends may have reached a target. What did not is no retry.
     pub(crate) may_have_arrived: bool,
+    /// Whether a target broke an attempt off before.
+    pub(crate) was_broken_off: bool,
     /// Permission to send the request once more, if it was granted before a target is sought.
     pub(crate) permit: Option<Permit<P>>,
     /// Version of the configuration, and its age when the request arrived.
@@ -130,6 +136,7 @@
         if now >= self.deadline {
             return Err(Denial::DeadlinePassed);
         }
+        quarantine::check(&self.shared, &self.head)?;
         let requirements = self.requirements(now, is_resumed);
         let permit = match self.may_have_arrived {
             false => None,
@@ -144,6 +151,8 @@
             }
             chosen => chosen,
         };
+        // The part may have been quarantined during the wait.
+        let slot = slot.and_then(|it| quarantine::check(&self.shared, &self.head).map(|()| it));
         if slot.is_ok() {
             self.shared.load_changed.notify_one();
             permit.into_iter().for_each(Permit::record_use);
@@ -301,7 +310,7 @@
     }
 
     /// Logs that an attempt failed. `ran` tells whether the target ran it: `no` or `unknown`.
-    pub(crate) fn record_failure(&self, slot: &Slot<P>, reason: Reason, ran: &str) {
+    pub(crate) fn record_failure(&mut self, slot: &Slot<P>, reason: Reason, ran: &str) {
         self.shared.journal.note(&Event::Failed {
             request: &self.head.id,
             target: &slot.target.id,
@@ -311,6 +320,10 @@
             writing_ms: slot.writing_time().map(millis),
             prompt: Parts(&self.head.prompt),
         });
+        if reason.is_broken() && !slot.is_survived {
+            let is_first = !std::mem::replace(&mut self.was_broken_off, true);
+            quarantine::record_loss(&self.shared, slot, &self.head.prompt, is_first);
+        }
     }
 
     /// Logs and counts the final response.
@@ -345,12 +358,15 @@
             Denial::NoTarget => ("no target", Duration::from_millis(500)),
             Denial::DeadlinePassed => ("its time is over", Duration::from_millis(500)),
             Denial::RetryBudgetSpent => ("the retry budget is spent", Duration::from_millis(300)),
+            Denial::Quarantined => ("its prompt crashes replicas", QUARANTINE_RETRY_AFTER),
         };
         let latest = (remaining / MAX_RETRY_AFTER_DIVISOR).max(MIN_RETRY_AFTER);
         let jitter = rand::rng().random_range(0.75..1.25);
         let retry_after = retry_after.mul_f64(jitter).clamp(MIN_RETRY_AFTER, latest);
-        let refusal = Refusal::retryable(reason, retry_after);
-        self.refuse(&refusal)
+        if denial != Denial::Quarantined {
+            self.record_miss();
+        }
+        self.refuse(&Refusal::retryable(reason, retry_after))
     }
 
     /// Counts the request among those of its model that were refused, failed or were late.
@@ -363,7 +379,6 @@
 
     /// Logs and counts a refusal, and returns the response to the caller.
     pub(crate) fn refuse(&self, refusal: &Refusal) -> Response<Answer> {
-        self.record_miss();
         let labels = format!("route=\"{}\",outcome=\"refused\"", self.route.name);
         self.shared.metrics.count("rhubarblatch_requests_total", &labels);
         self.shared.journal.note(&Event::Refused {
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use decision::gateway::quarantine;
 use serde::Deserialize;
 
 use crate::error::Error;
@@ -12,6 +13,9 @@
 /// Longest window of the retry budgets, in seconds. A restarted entry waits for one.
 const MAX_RETRY_WINDOW_SECONDS: f64 = 3_600.0;
 
+/// Longest time for which crashes count or a part is not sent, in seconds.
+const MAX_QUARANTINE_SECONDS: f64 = 86_400.0;
+
 /// The settings of one entry. Unknown fields are ignored.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct Settings {
@@ -37,6 +41,39 @@
     /// Bounds that the operators require.
     #[serde(default)]
     pub bounds: Bounds,
+    /// When parts of prompts that crash replicas are no longer sent.
+    #[serde(default)]
+    pub quarantine: Quarantine,
+}
+
+/// When parts of prompts that crash replicas are no longer sent.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(default)]
+pub struct Quarantine {
+    /// Crashes, apart in time, after which a part that no request survived is not sent any more.
+    pub crashes: u32,
+    /// Seconds for which a crash counts.
+    pub window_s: f64,
+    /// Seconds for which a part is not sent.
+    pub duration_s: f64,
+}
+
+impl Default for Quarantine {
+    fn default() -> Quarantine {
+        Quarantine { crashes: 3, window_s: 120.0, duration_s: 600.0 }
+    }
+}
+
+impl Quarantine {
+    /// Returns these as the settings of the decision.
+    pub(crate) fn settings(&self) -> quarantine::Settings {
+        quarantine::Settings {
+            min_crashes: self.crashes as usize,
+            window: Duration::from_secs_f64(self.window_s),
+            duration: Duration::from_secs_f64(self.duration_s),
+            ..quarantine::Settings::default()
+        }
+    }
 }
 
 /// Addresses at which an entry listens.
@@ -152,6 +189,9 @@
             ("bounds.catchup_s", bounds.catchup_s),
             ("cores", self.cores),
             ("memory_mb", self.memory_mb),
+            ("quarantine.crashes", f64::from(self.quarantine.crashes)),
+            ("quarantine.window_s", self.quarantine.window_s),
+            ("quarantine.duration_s", self.quarantine.duration_s),
         ];
         for (field, value) in positive {
             if !value.is_finite() || value <= 0.0 {
@@ -173,12 +213,16 @@
                 });
             }
         }
-        if bounds.retry_window_s > MAX_RETRY_WINDOW_SECONDS {
-            let value = bounds.retry_window_s;
-            return Err(Error::Setting {
-                field: "bounds.retry_window_s",
-                reason: format!("must be at most {MAX_RETRY_WINDOW_SECONDS}, but is {value}"),
-            });
+        let at_most = [
+            ("bounds.retry_window_s", bounds.retry_window_s, MAX_RETRY_WINDOW_SECONDS),
+            ("quarantine.window_s", self.quarantine.window_s, MAX_QUARANTINE_SECONDS),
+            ("quarantine.duration_s", self.quarantine.duration_s, MAX_QUARANTINE_SECONDS),
+        ];
+        for (field, value, limit) in at_most {
+            if value > limit {
+                let reason = format!("must be at most {limit}, but is {value}");
+                return Err(Error::Setting { field, reason });
+            }
         }
         if self.instance.is_empty() {
             let reason = "must not be empty".to_owned();
--- a/gateway/src/slot.rs
+++ b/gateway/src/slot.rs
@@ -21,6 +21,8 @@
     prompt_tokens: u64,
     started_at: Time,
     first_event_at: Option<Time>,
+    /// Whether the target has answered for so long that the request's prompt didn't crash it.
+    pub(crate) is_survived: bool,
     last_event_at: Option<Time>,
     event_count: u32,
     /// Whether this entry waited for its caller before it read the next event.
@@ -46,6 +48,7 @@
             prompt_tokens,
             started_at,
             first_event_at: None,
+            is_survived: false,
             last_event_at: None,
             event_count: 0,
             is_next_gap_ignored: false,
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -9,6 +9,7 @@
 use decision::gateway::era::Era;
 use decision::gateway::exchange::{self, Rank};
 use decision::gateway::fleet::{self, Fleet};
+use decision::gateway::quarantine::Quarantine;
 use decision::gateway::route::Table;
 use decision::gateway::warmup;
 use decision::prelude::*;
@@ -80,6 +81,7 @@
     mirror: Mutex<Mirror>,
     knowledge: Mutex<Knowledge>,
     balance: Mutex<Balancer>,
+    quarantine: Mutex<Quarantine>,
 }
 
 /// What this entry knows of the store's objects, and since when.
@@ -127,6 +129,8 @@
         };
         let buffer_limiter = Limiter::of_memory(settings.memory_bytes());
         let retries = Retries::new(settings.first_start);
+        let mut quarantine = Quarantine::default();
+        quarantine.set_settings(settings.quarantine.settings());
         Shared {
             platform,
             buffer_limiter,
@@ -154,6 +158,7 @@
             mirror: Mutex::default(),
             knowledge: Mutex::default(),
             balance: Mutex::new(Balancer::new(balance)),
+            quarantine: Mutex::new(quarantine),
         }
     }
 
@@ -174,6 +179,7 @@
 
     /// Puts new settings in force. The listeners keep their addresses until a restart.
     pub(crate) fn reload(&self, settings: Settings) {
+        self.quarantine().set_settings(settings.quarantine.settings());
         self.settings.store(Arc::new(settings));
         self.refresh_targets();
     }
@@ -198,6 +204,11 @@
         self.balance.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks what is known of parts that crash replicas. The guard must not be held across an await.
+    pub(crate) fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns whether the store answered the last request for the configuration.
     pub(crate) fn is_store_up(&self) -> bool {
         self.store_up.load(Ordering::Relaxed)
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -15,6 +15,7 @@
 use crate::journal::Event;
 use crate::pool::{Connection, Reply};
 use crate::port::{Platform, Run};
+use crate::quarantine;
 use crate::reason::Reason;
 use crate::refusal::{Denial, Refusal};
 use crate::request::{Job, Times, remove_hop_by_hop};
@@ -129,6 +130,7 @@
         let times = timer.times;
         match result {
             Ok(()) => {
+                quarantine::record_answer(&shared, &mut upstream.slot, &job.head.prompt);
                 upstream.slot.finish(Completion::Answered);
                 return job.record_end(&target, status, "answered", times);
             }
@@ -189,6 +191,7 @@
         Ok(upstream) if upstream.head.status.is_success() => Ok(upstream),
         Ok(_) | Err(OpenError::Answered(..)) => Err("failed elsewhere"),
         Err(OpenError::Denied(Denial::RetryBudgetSpent)) => Err("budget spent"),
+        Err(OpenError::Denied(Denial::Quarantined)) => Err("quarantined"),
         Err(OpenError::Denied(_)) => Err("no target left"),
         Err(OpenError::Failed(reason)) => Err(reason.name()),
     }
@@ -251,6 +254,7 @@
         if let Some(events) = complete {
             timer.record(last_received, job.arrived);
             upstream.slot.record_event();
+            quarantine::record_event(&shared, &mut upstream.slot, &job.head.prompt);
             let delivery = sender.send(events).await.map_err(|Disconnected| Reason::CallerLeft)?;
             if delivery == Delivery::Delayed {
                 upstream.slot.ignore_next_gap();
