--- a/gateway/src/body.rs
+++ b/gateway/src/body.rs
@@ -1,7 +1,6 @@
 //! Bodies of responses to callers.
 
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -18,8 +17,6 @@
 #[derive(Debug)]
 pub(crate) struct Answer {
     content: Content,
-    /// Counts the response as unfinished on its connection while it is held.
-    _guard: Option<Arc<()>>,
 }
 
 #[derive(Debug)]
@@ -80,20 +77,15 @@
 impl Answer {
     /// Creates a body whose content is complete.
     pub(crate) fn whole(bytes: impl Into<Bytes>) -> Answer {
-        Answer { content: Content::Whole(Full::new(bytes.into())), _guard: None }
+        Answer { content: Content::Whole(Full::new(bytes.into())) }
     }
 
     /// Creates a body that is sent in chunks, and the sender of these chunks.
     pub(crate) fn stream(ahead: ReadAhead) -> (Sender, Answer) {
         let (sender, chunks) = mpsc::channel(MAX_QUEUED_CHUNKS);
-        let answer = Answer { content: Content::Stream(chunks), _guard: None };
+        let answer = Answer { content: Content::Stream(chunks) };
         (Sender { sender, ahead }, answer)
     }
-
-    /// Keeps `guard` until the body has been sent or dropped.
-    pub(crate) fn with_guard(self, guard: Arc<()>) -> Answer {
-        Answer { _guard: Some(guard), ..self }
-    }
 }
 
 impl Body for Answer {
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -39,9 +39,6 @@
 /// Delay after which a caller may retry a request for whose body no memory was left.
 const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Interval at which a connection of a stopping entry is checked for being idle.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Bytes of a head that are read beyond the configured limit, so that a head which is slightly too
 /// large gets a response.
 const HEAD_MARGIN_BYTES: usize = 8_192;
@@ -79,18 +76,11 @@
     // A failure only adds latency to small responses.
     let _result = stream.set_nodelay(true);
     let limits = shared.knowledge().table.limits();
-    // Every response in progress holds a clone, and so does the service itself.
-    let in_progress = Arc::new(());
-    let idle_count = Arc::strong_count(&in_progress) + 1;
     let service = {
         let shared = shared.clone();
-        let in_progress = in_progress.clone();
         service_fn(move |request| {
-            let (shared, in_progress) = (shared.clone(), in_progress.clone());
-            async move {
-                let response = respond(&shared, request).await;
-                Ok::<_, Infallible>(response.map(|it| it.with_guard(in_progress)))
-            }
+            let shared = shared.clone();
+            async move { Ok::<_, Infallible>(respond(&shared, request).await) }
         })
     };
     let connection = http1::Builder::new()
@@ -104,14 +94,9 @@
         _result = connection.as_mut() => return,
         _ = stop.wait_for(|it| *it) => connection.as_mut().graceful_shutdown(),
     }
-    // Waits only for responses in progress: after the graceful shutdown, a connection without any
-    // request so far would stay open until its caller sends one.
-    while Arc::strong_count(&in_progress) > idle_count {
-        if timeout(IDLE_CHECK_INTERVAL, connection.as_mut()).await.is_ok() {
-            return;
-        }
-    }
-    let _result = timeout(IDLE_CHECK_INTERVAL, connection).await;
+    // An idle connection ends at once. Others end once the request that has begun to arrive is
+    // answered and the caller has been sent the last byte, or with the process.
+    let _result = connection.await;
 }
 
 /// Counts a connection as open until this is dropped.
