--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -161,12 +161,12 @@
     if answer.id.as_ref().is_some_and(|it| *it != job.head.id) {
         return (Attempt::Unknown(Reason::OtherRequest), Completion::Failed);
     }
+    if answer.id.is_none() && needs_id(answer.run, connection) {
+        return (Attempt::Unknown(Reason::NoRequest), Completion::Failed);
+    }
     match answer.run {
         Run::Refused => return (Attempt::NotRun(Reason::Refused), Completion::Refused),
         Run::Misdirected => return (Attempt::NotRun(Reason::OtherInstance), Completion::Failed),
-        Run::Possible if answer.id.is_none() => {
-            return (Attempt::Unknown(Reason::NoRequest), Completion::Failed);
-        }
         Run::Possible => {}
     }
     match read_body(body).await {
@@ -178,6 +178,12 @@
     }
 }
 
+/// Returns whether a response must name its request. On a reused connection it may belong to an
+/// earlier one, also if it says that the request did not run.
+pub(crate) fn needs_id(run: Run, connection: Connection) -> bool {
+    run == Run::Possible || connection == Connection::Reused
+}
+
 /// Reads a body to its end. Returns `None` if it breaks off or exceeds [`MAX_RESPONSE_BYTES`].
 pub(crate) async fn read_body(body: Reply) -> Option<Bytes> {
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -451,13 +451,16 @@
     if answer.id.as_ref().is_some_and(|it| *it != job.head.id) {
         return Err((Failure::Unknown(Reason::OtherRequest), Completion::Failed));
     }
+    if answer.id.is_none() && call::needs_id(answer.run, connection) {
+        return Err((Failure::Unknown(Reason::NoRequest), Completion::Failed));
+    }
     match answer.run {
         Run::Refused => return Err((Failure::NotRun(Reason::Refused), Completion::Refused)),
         Run::Misdirected => {
             return Err((Failure::NotRun(Reason::OtherInstance), Completion::Failed));
         }
-        Run::Possible if answer.id.is_none() || answer.encoded => {
-            return Err((Failure::Unknown(Reason::NoRequest), Completion::Failed));
+        Run::Possible if answer.encoded => {
+            return Err((Failure::Unknown(Reason::Encoded), Completion::Failed));
         }
         Run::Possible => {}
     }
