--- a/decision/src/gateway/quarantine.rs
+++ b/decision/src/gateway/quarantine.rs
@@ -15,8 +15,8 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use self::crash::Crash;
 pub use self::crash::Suspicion;
+use self::crash::{Clearance, Crash};
 pub use self::evidence::{Evidence, Report};
 use super::prompt::Part;
 use crate::prelude::*;
@@ -30,6 +30,14 @@
 /// Most parts whose last survival is kept.
 const MAX_SURVIVALS: usize = 4_096;
 
+/// Time for which peers are told that a part was survived. One that suspects it later is told again
+/// when it says so.
+const CLEARED_RETENTION: Duration = Duration::from_secs(10);
+
+/// Most parts of which peers are told that they were survived. The next request that is answered
+/// clears others again.
+const MAX_CLEARED: usize = 1_024;
+
 /// Most parts that are quarantined at the same time.
 pub const MAX_QUARANTINED: usize = 256;
 
@@ -88,8 +96,8 @@
     alive: BTreeMap<u32, Time>,
     /// When a request with the part was last answered.
     survivals: HashMap<Part, Time>,
-    /// Parts that were suspected or quarantined until they were survived, with that time.
-    cleared: BTreeMap<Part, Time>,
+    /// Parts that were suspected or quarantined until they were survived.
+    cleared: BTreeMap<Part, Clearance>,
     verdicts: BTreeMap<Part, Verdict>,
     /// When the next crash has settled.
     judge_at: Option<Time>,
@@ -179,12 +187,22 @@
             self.verdicts.remove(&part);
         }
         if was_suspect || is_released {
-            self.cleared.insert(part, at);
-            self.version += 1;
+            self.note_cleared(part, at, at);
+            // Another part may stand out now.
+            self.judge_at = Some(self.judge_at.map_or(at, |it| it.min(at)));
         }
         is_released
     }
 
+    /// Lets peers know that a part was survived.
+    fn note_cleared(&mut self, part: Part, survived_at: Time, noted_at: Time) {
+        self.version += 1;
+        if self.cleared.len() < MAX_CLEARED || self.cleared.contains_key(&part) {
+            let version = self.version;
+            self.cleared.insert(part, Clearance { survived_at, noted_at, version });
+        }
+    }
+
     /// Keeps the later half of the survivals.
     fn drop_old_survivals(&mut self) {
         let mut times: Vec<Time> = self.survivals.values().copied().collect();
@@ -229,7 +247,7 @@
         let Settings { window, duration, .. } = self.settings;
         self.crashes.retain(|_, it| now.since(it.at) < window);
         self.unconfirmed.retain(|_, it| now.since(it.at) < window);
-        self.cleared.retain(|_, it| now.since(*it) < window);
+        self.cleared.retain(|_, it| now.since(it.noted_at) < CLEARED_RETENTION);
         let lapsed = self.verdicts.values().filter(|it| now.since(it.since) >= duration);
         let lapsed: Vec<Part> = lapsed.map(|it| it.part).collect();
         for part in &lapsed {
@@ -274,21 +292,27 @@
     ) {
         let crash = self.crashes.entry(target).or_insert_with(|| Crash::new(at, now));
         let mut has_new = false;
+        let mut cleared = Vec::new();
         for (part, suspicion) in suspects {
             if let Some(survived_at) = self.survivals.get(&part).filter(|it| **it > crash.at) {
-                self.cleared.insert(part, *survived_at);
+                cleared.push((part, *survived_at));
             } else if !crash.is_explained || self.verdicts.contains_key(&part) {
                 has_new |= crash.insert(part, suspicion);
             }
         }
-        if !has_new {
-            return;
+        if has_new {
+            self.version += 1;
+            crash.version = self.version;
+            crash.known_at = now;
+            crash.explain(|part| self.verdicts.contains_key(&part));
+            let settled_at = now + self.settings.settle_time;
+            self.judge_at = Some(self.judge_at.map_or(settled_at, |it| it.min(settled_at)));
+        }
+        for (part, survived_at) in cleared {
+            if !self.cleared.contains_key(&part) {
+                self.note_cleared(part, survived_at, now);
+            }
         }
-        crash.known_at = now;
-        crash.explain(|part| self.verdicts.contains_key(&part));
-        self.version += 1;
-        let settled_at = now + self.settings.settle_time;
-        self.judge_at = Some(self.judge_at.map_or(settled_at, |it| it.min(settled_at)));
         self.drop_oldest_crash();
     }
 
--- a/decision/src/gateway/quarantine/crash.rs
+++ b/decision/src/gateway/quarantine/crash.rs
@@ -41,11 +41,23 @@
     pub(super) suspects: BTreeMap<Part, Suspicion>,
     /// Whether a part that was quarantined since is among them, so that the others count no more.
     pub(super) is_explained: bool,
+    /// Version of the evidence in which it got its last suspect.
+    pub(super) version: u64,
+}
+
+/// When a suspected or quarantined part was survived.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Clearance {
+    pub(super) survived_at: Time,
+    /// Since when peers are told of it.
+    pub(super) noted_at: Time,
+    /// Version of the evidence that it came with.
+    pub(super) version: u64,
 }
 
 impl Crash {
     pub(super) fn new(at: Time, known_at: Time) -> Crash {
-        Crash { at, known_at, suspects: BTreeMap::new(), is_explained: false }
+        Crash { at, known_at, suspects: BTreeMap::new(), is_explained: false, version: 0 }
     }
 
     /// Adds a part, unless there are too many: one that crashes replicas stands in the next crash
--- a/decision/src/gateway/quarantine/evidence.rs
+++ b/decision/src/gateway/quarantine/evidence.rs
@@ -68,18 +68,20 @@
 }
 
 impl Quarantine {
-    /// Returns what peers should know.
-    pub fn evidence(&self, now: Time) -> Evidence {
+    /// Returns what peers should know that is newer than `version`, and all verdicts.
+    pub fn evidence(&self, now: Time, version: u64) -> Evidence {
         let age = |at: Time| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
-        let with_suspects = self.crashes.iter().filter(|(_, it)| !it.suspects.is_empty());
+        let crashes = self.crashes.iter().filter(|(_, it)| it.version > version);
+        let with_suspects = crashes.filter(|(_, it)| !it.suspects.is_empty());
         let crashes = with_suspects.map(|(target, crash)| Report {
             target: *target,
             age_ms: age(crash.at),
             suspects: crash.suspects.iter().map(|(part, it)| (*part, *it)).collect(),
         });
+        let cleared = self.cleared.iter().filter(|(_, it)| it.version > version);
         Evidence {
             crashes: crashes.collect(),
-            survivals: self.cleared.iter().map(|(part, at)| (*part, age(*at))).collect(),
+            survivals: cleared.map(|(part, it)| (*part, age(it.survived_at))).collect(),
             verdicts: self.verdicts.values().map(|it| (it.part, age(it.since))).collect(),
         }
     }
--- a/decision/tests/gateway/quarantine.rs
+++ b/decision/tests/gateway/quarantine.rs
@@ -34,7 +34,7 @@
 
 /// Tells every entry what the others know.
 fn exchange(now: Time, entries: &mut [Quarantine]) {
-    let known: Vec<Evidence> = entries.iter().map(|it| it.evidence(now)).collect();
+    let known: Vec<Evidence> = entries.iter().map(|it| it.evidence(now, 0)).collect();
     for entry in entries {
         for piece in known.iter().flat_map(|it| it.clone().split(5)) {
             entry.merge(now, &piece);
@@ -92,7 +92,7 @@
         quarantine.record_check(now, target, false);
     }
     assert!(judge(at(5_000), &mut quarantine).is_empty());
-    assert!(quarantine.evidence(at(5_000)).is_empty());
+    assert!(quarantine.evidence(at(5_000), 0).is_empty());
 }
 
 /// Guards against a part of sound requests that is withheld when a failure domain fails.
@@ -147,6 +147,18 @@
     assert!(judge(at(2_500), &mut quarantine).is_empty(), "the known part explains them");
 }
 
+#[test]
+fn a_part_is_quarantined_as_soon_as_those_with_as_many_crashes_are_cleared() {
+    let mut quarantine = Quarantine::default();
+    for (step, target) in (0..3).zip(10..) {
+        crash(&mut quarantine, at(step * 200), target, &[FATAL]);
+        crash(&mut quarantine, at(step * 200), target, &[OTHER]);
+    }
+    assert!(judge(at(600), &mut quarantine).is_empty());
+    quarantine.record_survival(at(1_000), &[OTHER]);
+    assert_eq!(judge(at(1_000), &mut quarantine), [FATAL]);
+}
+
 #[test]
 fn a_quarantine_lapses_and_so_does_old_evidence() {
     let settings = Settings::default();
@@ -157,7 +169,7 @@
     assert_eq!(judge(at(600), &mut quarantine), [FATAL]);
     crash(&mut quarantine, at(700), 20, &[OTHER]);
     assert_eq!(quarantine.expire(at(600) + settings.window * 2), []);
-    assert!(quarantine.evidence(at(600) + settings.window * 2).crashes.is_empty());
+    assert!(quarantine.evidence(at(600) + settings.window * 2, 0).crashes.is_empty());
     assert_eq!(quarantine.expire(at(1_000) + settings.duration), [FATAL]);
     assert_eq!(quarantine.find(&[FATAL]), None);
 }
@@ -181,7 +193,7 @@
     entries[0].adopt(at(0), OTHER, at(0));
     crash(&mut entries[0], at(0), 10, &[FATAL]);
     crash(&mut entries[0], at(200), 11, &[FATAL]);
-    let told = entries[0].evidence(at(60_000));
+    let told = entries[0].evidence(at(60_000), 0);
     // Its clock began much later.
     let now = Time::from_millis(300_000);
     entries[1].merge(now, &told);
@@ -205,7 +217,7 @@
         quarantine.record_survival(now, &prompt);
         quarantine.adopt(now, part(u64::from(round) + 9_000_000), now);
     }
-    let evidence = quarantine.evidence(at(5_000));
+    let evidence = quarantine.evidence(at(5_000), 0);
     assert_eq!(evidence.crashes.len(), 64);
     assert!(evidence.crashes.iter().all(|it| it.suspects.len() <= 256));
     assert_eq!(evidence.verdicts.len(), MAX_QUARANTINED);
@@ -220,6 +232,26 @@
     assert_eq!(pieces.iter().map(sent).sum::<usize>(), all);
 }
 
+#[test]
+fn only_what_is_new_is_told_between_complete_reports() {
+    let mut quarantine = Quarantine::default();
+    crash(&mut quarantine, at(0), 10, &[FATAL, OTHER]);
+    let version = quarantine.version();
+    assert_eq!(quarantine.evidence(at(0), version), Evidence::default());
+    crash(&mut quarantine, at(200), 11, &[FATAL]);
+    quarantine.record_survival(at(300), &[OTHER]);
+    let news = quarantine.evidence(at(300), version);
+    assert_eq!(news.crashes.iter().map(|it| it.target).collect::<Vec<u32>>(), [11]);
+    assert_eq!(news.survivals, [(OTHER, 0)]);
+    // A peer that suspects the part later is told again.
+    quarantine.expire(at(60_000));
+    assert_eq!(quarantine.evidence(at(60_000), 0).survivals, []);
+    let suspicion = Suspicion::default();
+    let report = Report { target: 10, age_ms: 60_000, suspects: vec![(OTHER, suspicion)] };
+    quarantine.merge(at(60_000), &Evidence { crashes: vec![report], ..Evidence::default() });
+    assert_eq!(quarantine.evidence(at(60_000), 0).survivals, [(OTHER, 59_700)]);
+}
+
 #[test]
 fn what_is_known_already_is_not_told_again() {
     let mut entries = [(); 3].map(|()| Quarantine::default());
@@ -239,7 +271,7 @@
 /// requests, crashes by chance and whole failure domains that crash.
 #[rstest]
 #[case::entries_7(7, 100.0, 40)]
-#[case::entries_60(60, 400.0, 3)]
+#[case::entries_60(60, 400.0, 10)]
 fn only_the_fatal_part_is_quarantined_under_load(
     #[case] entries: usize,
     #[case] rate: f64,
--- a/decision/tests/gateway/quarantine/play.rs
+++ b/decision/tests/gateway/quarantine/play.rs
@@ -203,7 +203,7 @@
         let mut news = Vec::new();
         for (entry, told) in self.entries.iter().zip(told) {
             let version = std::mem::replace(told, entry.version());
-            news.extend((version != entry.version()).then(|| entry.evidence(time(now))));
+            news.extend((version != entry.version()).then(|| entry.evidence(time(now), version)));
         }
         for entry in &mut self.entries {
             news.iter().for_each(|it| drop(entry.merge(time(now), it)));
--- a/gateway/src/peers/send.rs
+++ b/gateway/src/peers/send.rs
@@ -32,8 +32,8 @@
 /// The standby hub gets a heartbeat in one of so many rounds, so that it can take over at once.
 const STANDBY_HUB_ROUNDS: usize = 4;
 
-/// Interval at which evidence of crashes is sent again, for entries that missed some or started.
-const EVIDENCE_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which all evidence of crashes is sent, for entries that missed some or started.
+const EVIDENCE_INTERVAL: Duration = Duration::from_secs(3);
 
 /// Most suspect targets in a message.
 pub(super) const MAX_SUSPECTS: usize = 32;
@@ -52,8 +52,10 @@
     pub(super) next_hub_round_at: Time,
     /// Rounds as a hub so far.
     pub(super) hub_round: usize,
-    /// Version of the evidence of crashes that was sent last, and when that was.
-    sent_evidence: (u64, Time),
+    /// Version of the evidence of crashes that was sent last.
+    sent_evidence: u64,
+    /// When all evidence is sent next.
+    next_complete_evidence_at: Time,
 }
 
 /// Sends rounds on `socket` until the process ends.
@@ -69,7 +71,8 @@
         round: 0,
         next_hub_round_at: Time::ZERO,
         hub_round: 0,
-        sent_evidence: (0, Time::ZERO),
+        sent_evidence: 0,
+        next_complete_evidence_at: Time::ZERO,
     };
     loop {
         sleep(if shared.has_hubs() { MIN_ROUND_INTERVAL_WITH_HUBS } else { MIN_ROUND_INTERVAL })
@@ -109,16 +112,19 @@
         self.send_evidence(&receivers);
     }
 
-    /// Sends what is known of crashes if that has changed, or some time ago for the last time.
+    /// Sends what is new about crashes, and from time to time all that is known.
     fn send_evidence(&mut self, to: &[SocketAddr]) {
         let now = self.shared.now();
-        let (sent_version, sent_at) = self.sent_evidence;
-        let has_changed = self.shared.quarantine().version() != sent_version;
-        if !has_changed && now.since(sent_at) < EVIDENCE_INTERVAL {
+        let is_complete = now >= self.next_complete_evidence_at;
+        let known = if is_complete { 0 } else { self.sent_evidence };
+        if !is_complete && self.shared.quarantine().version() == known {
             return;
         }
-        let (version, evidence) = quarantine::evidence(&self.shared);
-        self.sent_evidence = (version, now);
+        let (version, evidence) = quarantine::evidence(&self.shared, known);
+        self.sent_evidence = version;
+        if is_complete {
+            self.next_complete_evidence_at = now + EVIDENCE_INTERVAL;
+        }
         for piece in evidence.split(MAX_PARTS_PER_MESSAGE) {
             self.send_all(&Message::Crashes(piece), to);
         }
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -98,10 +98,10 @@
     released.into_iter().for_each(|it| report_released(shared, it, "answered elsewhere"));
 }
 
-/// Returns what peers should know, and its version.
-pub(crate) fn evidence<P>(shared: &Shared<P>) -> (u64, Evidence) {
+/// Returns what peers should know that is newer than `version`, and its version.
+pub(crate) fn evidence<P>(shared: &Shared<P>, version: u64) -> (u64, Evidence) {
     let quarantine = shared.quarantine();
-    (quarantine.version(), quarantine.evidence(now(shared)))
+    (quarantine.version(), quarantine.evidence(now(shared), version))
 }
 
 /// Applies changes of the parts that the store lists as quarantined.
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -130,7 +130,10 @@
         let times = timer.times;
         match result {
             Ok(()) => {
-                quarantine::record_answer(&shared, &mut upstream.slot, &job.head.prompt);
+                // Without a frame, the end of a crashed target's stream may look like that of a whole one.
+                if upstream.body.is_framed() {
+                    quarantine::record_answer(&shared, &mut upstream.slot, &job.head.prompt);
+                }
                 upstream.slot.finish(Completion::Answered);
                 return job.record_end(&target, status, "answered", times);
             }
