--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -8,6 +8,7 @@
 use decision::gateway::prompt::Part;
 use decision::gateway::quarantine::{self, Evidence};
 use decision::prelude::*;
+use http::StatusCode;
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -130,16 +131,26 @@
             continue;
         }
         let Some(request) = next_store_call(&shared, &mut surplus) else { continue };
-        if let Err(error) = follow::write_store(&shared, request, STORE_TIMEOUT).await {
-            let reason = error.to_string();
-            let event =
-                Event::Lost { dependency: "store", kind: Kind::Quarantines, reason: &reason };
-            shared.journal.note(&event);
+        match follow::write_store(&shared, request, STORE_TIMEOUT).await {
+            Ok(reply) if is_settled(reply.status) => {}
+            Ok(reply) => report_failure(&shared, &follow::Error::Status(reply.status)),
+            Err(error) => report_failure(&shared, &error),
         }
         next_call_at = shared.now() + STORE_RETRY_DELAY;
     }
 }
 
+/// Returns whether the store took a change, or another entry had made it before.
+fn is_settled(status: StatusCode) -> bool {
+    status.is_success() || status == StatusCode::CONFLICT || status == StatusCode::NOT_FOUND
+}
+
+fn report_failure<P>(shared: &Shared<P>, error: &follow::Error) {
+    let reason = error.to_string();
+    let event = Event::Lost { dependency: "store", kind: Kind::Quarantines, reason: &reason };
+    shared.journal.note(&event);
+}
+
 fn judge<P>(shared: &Shared<P>) {
     let now = now(shared);
     let (new, lapsed) = {
--- a/gateway/src/ready.rs
+++ b/gateway/src/ready.rs
@@ -83,5 +83,7 @@
     all_gauges.push(("rhubarblatch_waiting_requests", shared.wait_queue.len() as f64));
     all_gauges.push(("rhubarblatch_held_bytes", shared.buffer_limiter.used() as f64));
     all_gauges.push(("rhubarblatch_suspect_targets", suspects));
+    let parts = shared.quarantine().verdicts().count() as f64;
+    all_gauges.push(("rhubarblatch_quarantine_parts", parts));
     shared.metrics.text(&all_gauges)
 }
