--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -178,7 +178,7 @@
 
 /// Returns the name and address of the peer that reads the store for this failure domain, or else
 /// for the cluster, and the time for which it may hold a query. Returns `None` if this entry is to
-/// read the store itself; in a cluster without hubs, also until all kinds have been listed.
+/// read the store itself; in a cluster without hubs, also until all kinds were listed once.
 fn find_reader<P: Platform>(shared: &Shared<P>) -> Option<(String, SocketAddr, Duration)> {
     let settings = shared.settings();
     let (now, rank) = (shared.now(), shared.rank(&settings));
@@ -191,7 +191,8 @@
         None => return None,
     };
     let mirror = shared.mirror();
-    let is_complete = FOLLOWED_KINDS.iter().all(|it| mirror.watch_version(*it).is_some());
+    // After a restore, the peer tells the kinds one by one as it lists them anew.
+    let is_complete = FOLLOWED_KINDS.iter().all(|it| mirror.confirmed_at(*it).is_some());
     drop(mirror);
     if !is_complete && !shared.has_hubs() {
         return None;
