--- a/review/standin/src/memory.rs
+++ b/review/standin/src/memory.rs
@@ -9,7 +9,7 @@
 
 use crate::config::{ZONES, config, seconds, until};
 use crate::consumers::{Attempt, Consumers};
-use crate::entry::{Entry, Fleet};
+use crate::entry::{Entry, Fleet, RIGA};
 use crate::http::Outcome;
 use crate::record::Record;
 use crate::replicas::{PLAIN_SERVICE, World};
@@ -58,7 +58,7 @@
     let fleet = Arc::new(Fleet::default());
     for zone in ZONES {
         let name = format!("edge-{zone}-1");
-        fleet.add(Arc::new(Entry::new(&work, &name, zone, address, record.clone())));
+        fleet.add(Arc::new(Entry::new(&work, &name, zone, address, RIGA, record.clone())));
     }
     fleet.all().iter().for_each(|it| it.start(true));
     fleet.watch();
--- a/review/standin/src/services.rs
+++ b/review/standin/src/services.rs
@@ -9,7 +9,7 @@
 
 use crate::config::{ZONES, config, seconds, until};
 use crate::consumers::{Consumers, Kind};
-use crate::entry::{Entry, Fleet};
+use crate::entry::{Entry, Fleet, RIGA};
 use crate::http::Outcome;
 use crate::json::Json;
 use crate::record::Record;
@@ -70,7 +70,7 @@
     let fleet = Arc::new(Fleet::default());
     for zone in ZONES {
         let name = format!("edge-{zone}-1");
-        fleet.add(Arc::new(Entry::new(&work, &name, zone, address, record.clone())));
+        fleet.add(Arc::new(Entry::new(&work, &name, zone, address, RIGA, record.clone())));
     }
     fleet.all().iter().for_each(|it| it.start(true));
     fleet.watch();
