Reset a request that is given up, so that a cut can't deliver it later

Cause: an attempt that is given up dropped its connection, which closes it in order: the kernel goes on sending the request until it arrives. Connections to targets had no bound on data that isn't acknowledged.

Now a connection whose request is still open as it is dropped is reset (no linger), which throws away what wasn't sent; and one that acknowledges nothing for three quarters of the tightest of drain_ms, evacuate_ms and revoke_ms fails by itself. The same class elsewhere: orders to instances, probes, reports and calls of the store go through the same pool, so that given-up ones are reset too. The own daemon's clients (targets/) still close in order.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -11,7 +11,7 @@
 //! | `inform` | what peers know better than a store that was restored |
 //! | `owner`, `order` | orders to instances, given by one entry at a time |
 //! | `peers` | state that entries exchange |
-//! | [`pool`] | connections to targets and to the store |
+//! | [`pool`], `socket` | connections to targets and to the store |
 //! | `journal`, `metrics`, `ready` | log, metrics and readiness |
 
 mod apply;
@@ -43,6 +43,7 @@
 mod routing;
 pub mod settings;
 mod slot;
+mod socket;
 pub mod splitter;
 mod state;
 mod stream;
--- a/gateway/src/pool.rs
+++ b/gateway/src/pool.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -19,6 +20,8 @@
 use tokio::time::{Instant, timeout};
 
 use crate::error::Call;
+use crate::request::millis;
+use crate::socket::{Progress, Socket};
 
 /// Settings of a pool.
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +36,9 @@
     /// Interval between TCP keepalive probes. A connection whose sent data isn't acknowledged
     /// within two intervals is closed. `None` sends no probes.
     pub keepalive_interval: Option<Duration>,
+    /// Time after which a connection fails whose sent data is not acknowledged. `None` leaves it to the
+    /// system, or to the keepalive probes.
+    pub unacknowledged_timeout: Option<Duration>,
 }
 
 impl Default for Settings {
@@ -42,6 +48,7 @@
             idle_timeout: Duration::from_secs(4),
             max_idle: 16,
             keepalive_interval: None,
+            unacknowledged_timeout: None,
         }
     }
 }
@@ -59,7 +66,12 @@
     New,
 }
 
-type Sender = SendRequest<Full<Bytes>>;
+/// Sending half of a connection.
+#[derive(Debug)]
+struct Sender {
+    requests: SendRequest<Full<Bytes>>,
+    progress: Progress,
+}
 
 /// Pool of connections. Clones share their idle connections.
 #[derive(Clone, Debug)]
@@ -70,6 +82,8 @@
 #[derive(Debug)]
 struct Shared {
     settings: Settings,
+    /// The setting in force, in milliseconds; 0 for none.
+    unacknowledged_ms: AtomicU64,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
@@ -100,7 +114,14 @@
 impl Pool {
     /// Returns a pool without connections.
     pub fn new(settings: Settings) -> Pool {
-        Pool { shared: Arc::new(Shared { settings, idle: Mutex::default() }) }
+        let limit = settings.unacknowledged_timeout.map_or(0, millis);
+        let unacknowledged_ms = AtomicU64::new(limit);
+        Pool { shared: Arc::new(Shared { settings, unacknowledged_ms, idle: Mutex::default() }) }
+    }
+
+    /// Changes [`Settings::unacknowledged_timeout`] for connections that are opened from now on.
+    pub fn set_unacknowledged_timeout(&self, limit: Duration) {
+        self.shared.unacknowledged_ms.store(millis(limit), Ordering::Relaxed);
     }
 
     /// Sends `request` and waits for the head of its response.
@@ -175,7 +196,9 @@
         time_limit: Duration,
         max_bytes: usize,
     ) -> Result<Response<Bytes>, Call> {
-        let settings = Settings { max_idle: 0, ..self.shared.settings };
+        let limit = self.shared.unacknowledged_ms.load(Ordering::Relaxed);
+        let unacknowledged_timeout = (limit > 0).then(|| Duration::from_millis(limit));
+        let settings = Settings { max_idle: 0, unacknowledged_timeout, ..self.shared.settings };
         Pool::new(settings).call(address, request, time_limit, max_bytes).await
     }
 
@@ -190,7 +213,7 @@
         let now = Instant::now();
         let mut idle = self.shared.idle();
         idle.retain(|address, connections| {
-            connections.retain(|it| it.expires_at > now && !it.sender.is_closed());
+            connections.retain(|it| it.expires_at > now && !it.sender.requests.is_closed());
             !connections.is_empty() && is_kept(*address)
         });
     }
@@ -201,7 +224,8 @@
         mut sender: Sender,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Reply>, (Call, Option<Request<Full<Bytes>>>)> {
-        let response = match sender.try_send_request(request).await {
+        sender.progress.open();
+        let response = match sender.requests.try_send_request(request).await {
             Ok(response) => response,
             Err(mut error) => {
                 let unsent = error.take_message();
@@ -235,13 +259,20 @@
                 .and_then(|()| socket.set_tcp_user_timeout(Some(interval * 2)))
                 .map_err(Call::Connect)?;
         }
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(Call::Broken)?;
+        let limit = self.shared.unacknowledged_ms.load(Ordering::Relaxed);
+        if limit > 0 {
+            let limit = Some(Duration::from_millis(limit));
+            SockRef::from(&stream).set_tcp_user_timeout(limit).map_err(Call::Connect)?;
+        }
+        let progress = Progress::default();
+        let socket = Socket::new(stream, progress.clone());
+        let (requests, connection) =
+            http1::handshake(TokioIo::new(socket)).await.map_err(Call::Broken)?;
         tokio::spawn(async move {
             // The request on the connection gets the error, and nothing else depends on it.
             let _result = connection.await;
         });
-        Ok(sender)
+        Ok(Sender { requests, progress })
     }
 }
 
@@ -255,7 +286,7 @@
         let mut idle = self.idle();
         let connections = idle.get_mut(&address)?;
         while let Some(connection) = connections.pop() {
-            if connection.expires_at > now && connection.sender.is_ready() {
+            if connection.expires_at > now && connection.sender.requests.is_ready() {
                 return Some(connection.sender);
             }
         }
@@ -310,16 +341,17 @@
 impl Checkout {
     /// Returns the connection to the pool once the exchange on it is complete.
     fn check_in(self) {
+        self.sender.progress.complete();
         if self.idle_timeout.is_zero() {
             return;
         }
         let Checkout { shared, mut sender, address, idle_timeout } = self;
-        if sender.is_ready() {
+        if sender.requests.is_ready() {
             shared.check_in(address, sender, idle_timeout);
             return;
         }
         tokio::spawn(async move {
-            if sender.ready().await.is_ok() {
+            if sender.requests.ready().await.is_ok() {
                 shared.check_in(address, sender, idle_timeout);
             }
         });
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -288,6 +288,13 @@
         Duration::from_millis(self.config_ms) * 3 / 4
     }
 
+    /// Returns the time after which a connection to a target fails that doesn't acknowledge what it
+    /// was sent. A request that arrives later could reach a target that gets no requests any more.
+    pub fn unacknowledged_timeout(&self) -> Duration {
+        let tightest = self.drain_ms.min(self.evacuate_ms).min(self.revoke_ms);
+        Duration::from_millis(tightest) * 3 / 4
+    }
+
     /// Returns the window over which requests and retries are counted.
     pub fn retry_window(&self) -> Duration {
         Duration::from_secs_f64(self.retry_window_s)
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -127,6 +127,10 @@
             connect_timeout: Duration::from_millis(500),
             ..pool::Settings::default()
         };
+        let targets = pool::Settings {
+            unacknowledged_timeout: Some(settings.bounds.unacknowledged_timeout()),
+            ..pool::Settings::default()
+        };
         let buffer_limiter = Limiter::of_memory(settings.memory_bytes());
         let retries = Retries::new(settings.first_start);
         let mut quarantine = Quarantine::default();
@@ -138,7 +142,7 @@
             clock,
             journal,
             metrics: Metrics::default(),
-            targets: Pool::new(pool::Settings::default()),
+            targets: Pool::new(targets),
             store: Pool::new(store),
             slot_freed: Notify::new(),
             wait_queue: WaitQueue::default(),
@@ -180,6 +184,7 @@
     /// Puts new settings in force. The listeners keep their addresses until a restart.
     pub(crate) fn reload(&self, settings: Settings) {
         self.quarantine().set_settings(settings.quarantine.settings());
+        self.targets.set_unacknowledged_timeout(settings.bounds.unacknowledged_timeout());
         self.settings.store(Arc::new(settings));
         self.refresh_targets();
     }
