Try dead entries that rank before the living ever less often

Cause: an entry that doesn't answer was suspect for 2 s and then tried again, for 0.5 s each, one after the other. With four or more of them one is always being tried, so that the living entries report to a dead hub all the time.

Now the time doubles with each try in vain, up to 64 s. So that a hub which was away doesn't stay passed over for that long, it sends a heartbeat to the entry that stands in for it, which names it to its subscribers; they try a named one again within 2 s.

--- a/decision/src/gateway/exchange.rs
+++ b/decision/src/gateway/exchange.rs
@@ -20,8 +20,11 @@
     /// Time after which an entry that was sent something and hasn't answered is suspect, so that it
     /// can't be a hub.
     pub silence_timeout: Duration,
-    /// Time for which an entry stays suspect before it is tried again.
+    /// Time for which an entry stays suspect before it is tried again, at first. It doubles with each
+    /// try in vain.
     pub suspect_time: Duration,
+    /// Longest time for which an entry stays suspect.
+    pub max_suspect_time: Duration,
     /// Age of the load that an entry receives directly from the entry that it belongs to.
     pub direct_lag: Duration,
     /// Shortest interval between two rounds of a hub.
@@ -37,6 +40,7 @@
             max_mesh_entries: 13,
             silence_timeout: Duration::from_millis(500),
             suspect_time: Duration::from_secs(2),
+            max_suspect_time: Duration::from_secs(64),
             direct_lag: Duration::from_millis(40),
             min_round_interval: Duration::from_millis(75),
             interval_per_entry: Duration::from_millis(2),
@@ -92,8 +96,17 @@
 pub struct Liveness {
     /// When the first message was sent to an entry that hasn't answered since.
     unanswered: HashMap<String, Time>,
-    /// Until when an entry that didn't answer is suspect.
-    suspects: HashMap<String, Time>,
+    /// Entries that didn't answer the last time that they were tried.
+    suspicions: HashMap<String, Suspicion>,
+}
+
+/// An entry that doesn't answer.
+#[derive(Clone, Copy, Debug)]
+struct Suspicion {
+    /// Until when it isn't tried again.
+    until: Time,
+    /// Time between the last two tries.
+    delay: Duration,
 }
 
 impl Liveness {
@@ -107,18 +120,34 @@
     /// Records that a message was received from an entry.
     pub fn record_received(&mut self, name: &str) {
         self.unanswered.remove(name);
-        self.suspects.remove(name);
+        self.suspicions.remove(name);
+    }
+
+    /// Records that a peer hears an entry. If the entry is suspect, it is tried again as soon as one
+    /// that has just become suspect.
+    pub fn record_reported(&mut self, now: Time, name: &str, settings: &Settings) {
+        let Some(suspicion) = self.suspicions.get_mut(name) else { return };
+        suspicion.delay = suspicion.delay.min(settings.suspect_time);
+        suspicion.until = suspicion.until.min(now + settings.suspect_time);
     }
 
     /// Returns whether an entry doesn't answer, so that another one takes its place as hub.
     pub fn is_silent(&mut self, now: Time, name: &str, settings: &Settings) -> bool {
-        self.suspects.retain(|_, until| now < *until);
         let is_overdue = |sent: &Time| now.since(*sent) >= settings.silence_timeout;
         if self.unanswered.get(name).is_some_and(is_overdue) {
             self.unanswered.remove(name);
-            self.suspects.insert(name.to_owned(), now + settings.suspect_time);
+            self.suspect(now, name, settings);
         }
-        self.suspects.contains_key(name)
+        self.suspicions.get(name).is_some_and(|it| now < it.until)
+    }
+
+    /// Suspects an entry, for twice as long as the last time. Forgets entries that were not tried
+    /// for a long time.
+    fn suspect(&mut self, now: Time, name: &str, settings: &Settings) {
+        self.suspicions.retain(|_, it| now < it.until + settings.max_suspect_time);
+        let last = self.suspicions.get(name).map(|it| it.delay);
+        let delay = last.map_or(settings.suspect_time, |it| it * 2).min(settings.max_suspect_time);
+        self.suspicions.insert(name.to_owned(), Suspicion { until: now + delay, delay });
     }
 }
 
--- a/gateway/src/peers/receive.rs
+++ b/gateway/src/peers/receive.rs
@@ -7,6 +7,7 @@
 
 use decision::gateway::balance::{Load, hash};
 use decision::gateway::demand::Demands;
+use decision::gateway::exchange;
 use decision::prelude::*;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -193,6 +194,7 @@
     let domain = domain.into_iter().map(|it| (settings.failure_domain.clone(), it));
     for (failure_domain, status) in domain.chain(others) {
         if status.name != settings.instance {
+            state.liveness.record_reported(now, &status.name, &exchange::Settings::default());
             state.apply_hub_status(now, status, failure_domain);
         }
     }
--- a/gateway/src/peers/send.rs
+++ b/gateway/src/peers/send.rs
@@ -97,12 +97,11 @@
         let hubs = self.hubs(&entries, &self.shared.settings().failure_domain);
         let own_position = hubs.iter().position(|it| it.is_none());
         let is_hub = own_position == Some(0);
-        if !is_hub {
-            let others = hubs.into_iter().enumerate();
-            for (position, hub) in others.filter_map(|(position, it)| Some((position, it?))) {
-                if position == 0 || self.round.is_multiple_of(STANDBY_HUB_ROUNDS) {
-                    self.send_heartbeat(&own, position == 0, &[hub.address]);
-                }
+        let others = hubs.into_iter().enumerate();
+        for (position, hub) in others.filter_map(|(position, it)| Some((position, it?))) {
+            // A hub that is back is heard by the one that replaced it, which tells the others.
+            if position == 0 || self.round.is_multiple_of(STANDBY_HUB_ROUNDS) {
+                self.send_heartbeat(&own, position == 0, &[hub.address]);
             }
         }
         if self.shared.now() >= self.next_hub_round_at {
