Remove the registrations of entries that are not heard for a minute

Who removes: in each failure domain its first living entry, which all others of it report to, if it reaches the store and hears any peer. On what evidence: it has not heard the entry for 60 s since it decides (entry_absence_s). An entry that lives and was only cut off writes itself again, as after a restore of the store.

Not played: eighteen instances replaced in turn with real processes; a failure domain without a living entry keeps its registrations.

--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -12,6 +12,7 @@
 //! | Which entry takes over the replicas next? | [`candidate::takeover_delay`] |
 //! | Which era of the store does a response belong to? | [`era::Tracker`] |
 //! | Which parts of prompts crash replicas and are not sent any more? | [`quarantine::Quarantine`] |
+//! | Which registrations of entries that are gone are removed? | [`registration::Absences`] |
 //! | Which objects stay in force after the store was restored? | [`hold::Holds`] |
 //! | Which replicas to form, repair or end, where to stage weights? | [`formation::Formation`] |
 
@@ -30,5 +31,6 @@
 pub mod hold;
 pub mod prompt;
 pub mod quarantine;
+pub mod registration;
 pub mod route;
 pub mod warmup;
--- a/decision/tests/gateway/main.rs
+++ b/decision/tests/gateway/main.rs
@@ -19,6 +19,8 @@
 mod owners;
 mod precondition;
 mod quarantine;
+#[cfg(test)]
+mod registration;
 mod route;
 mod simulation;
 mod spare;
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -23,7 +23,7 @@
 use crate::port::{self, Condition, Entry, Kind, Object, Platform};
 use crate::settings::{Listen, Settings};
 use crate::state::{Counts, Shared};
-use crate::{apply, follow, intake, owner, peers, quarantine, ready, relay, wait};
+use crate::{apply, follow, intake, lapse, owner, peers, quarantine, ready, relay, wait};
 
 /// Time for which a stopping entry still accepts new connections: the platform checks its readiness
 /// once a second, and sends it no more connections after two failed checks.
@@ -136,6 +136,7 @@
         tasks.spawn(relay::serve(shared.clone(), relay));
         tasks.spawn(owner::run(shared.clone(), incarnation));
         tasks.spawn(register(shared.clone()));
+        tasks.spawn(lapse::run(shared.clone()));
         tasks.spawn(wait::run(shared.clone()));
         tasks.spawn(quarantine::run(shared.clone()));
         tasks.spawn(maintain(shared.clone()));
--- a/gateway/src/journal.rs
+++ b/gateway/src/journal.rs
@@ -62,6 +62,8 @@
     },
     /// The store has lost this entry's registration, which is written again.
     Unregistered { era: Era },
+    /// The registration of an entry that was not heard for long is removed from the store.
+    Lapsed { entry: &'a str, result: &'a str },
     /// At its start, this entry asked peers what they hold: how many were asked and answered, and
     /// how many objects this entry holds since.
     Informed { asked: usize, peers: usize, objects: usize },
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `inform` | what peers know better than a store that was restored |
 //! | `owner`, `order` | orders to instances, given by one entry at a time |
 //! | `peers` | state that entries exchange |
+//! | `lapse` | registrations of entries that are gone |
 //! | [`pool`], `socket` | connections to targets and to the store |
 //! | `journal`, `metrics`, `ready` | log, metrics and readiness |
 
@@ -24,6 +25,7 @@
 mod inform;
 mod intake;
 mod journal;
+mod lapse;
 mod lease;
 pub mod memory;
 mod metrics;
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -155,6 +155,18 @@
         peer.is_some_and(|it| it.status.incarnation == incarnation && !it.status.is_leaving)
     }
 
+    /// Returns whether the peer `name` is alive, as it says itself or as a hub reports.
+    pub(crate) fn is_heard(&self, now: Time, name: &str) -> bool {
+        self.state().peers.get(name).is_some_and(|it| it.is_alive(now))
+    }
+
+    /// Returns whether no living peer of a failure domain ranks before `own`.
+    pub(crate) fn leads(&self, now: Time, failure_domain: &str, own: Rank<'_>) -> bool {
+        let state = self.state();
+        let mut domain = state.alive(now).filter(|it| it.failure_domain == failure_domain);
+        domain.all(|it| it.status.rank() > own)
+    }
+
     /// Returns the highest fencing token under which a living peer owns the replicas.
     pub(crate) fn owner_fence(&self, now: Time) -> Option<u64> {
         let state = self.state();
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -16,6 +16,9 @@
 /// Longest time for which crashes count or a part is not sent, in seconds.
 const MAX_QUARANTINE_SECONDS: f64 = 86_400.0;
 
+/// Longest time after which the registration of an absent entry is removed, in seconds.
+const MAX_ENTRY_ABSENCE_SECONDS: f64 = 86_400.0;
+
 /// The settings of one entry. Unknown fields are ignored.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct Settings {
@@ -44,6 +47,9 @@
     /// When parts of prompts that crash replicas are no longer sent.
     #[serde(default)]
     pub quarantine: Quarantine,
+    /// Seconds after which the registration of an entry that isn't heard is removed.
+    #[serde(default = "default_entry_absence_s")]
+    pub entry_absence_s: f64,
 }
 
 /// When parts of prompts that crash replicas are no longer sent.
@@ -146,6 +152,10 @@
     256.0
 }
 
+fn default_entry_absence_s() -> f64 {
+    60.0
+}
+
 fn default_cores() -> f64 {
     1.0
 }
@@ -189,6 +199,7 @@
             ("bounds.catchup_s", bounds.catchup_s),
             ("cores", self.cores),
             ("memory_mb", self.memory_mb),
+            ("entry_absence_s", self.entry_absence_s),
             ("quarantine.crashes", f64::from(self.quarantine.crashes)),
             ("quarantine.window_s", self.quarantine.window_s),
             ("quarantine.duration_s", self.quarantine.duration_s),
@@ -214,6 +225,7 @@
             }
         }
         let at_most = [
+            ("entry_absence_s", self.entry_absence_s, MAX_ENTRY_ABSENCE_SECONDS),
             ("bounds.retry_window_s", bounds.retry_window_s, MAX_RETRY_WINDOW_SECONDS),
             ("quarantine.window_s", self.quarantine.window_s, MAX_QUARANTINE_SECONDS),
             ("quarantine.duration_s", self.quarantine.duration_s, MAX_QUARANTINE_SECONDS),
