--- a/gateway/src/body.rs
+++ b/gateway/src/body.rs
@@ -88,6 +88,13 @@
     }
 }
 
+impl Answer {
+    /// Returns whether the body arrives in chunks.
+    pub(crate) fn is_stream(&self) -> bool {
+        matches!(self.content, Content::Stream(_))
+    }
+}
+
 impl Body for Answer {
     type Data = Bytes;
     type Error = Truncated;
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::error::Error;
 use crate::journal::{Event, Journal};
 use crate::port::{self, Condition, Entry, Kind, Object, Platform};
+use crate::request::millis;
 use crate::settings::{Listen, Settings};
 use crate::state::{Counts, Shared};
 use crate::{apply, follow, intake, lapse, owner, peers, quarantine, ready, relay, wait};
@@ -35,6 +36,10 @@
 /// Interval at which a stopping entry checks whether connections are open.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Largest number of requests that are logged one by one as cut off by the end of the process. All
+/// of them are counted in the line before.
+const MAX_CUT_LINES: usize = 200;
+
 /// Interval at which the settings file is checked for changes.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -173,26 +178,45 @@
     /// open ones until the grace period is nearly over.
     pub async fn stop(self) {
         let shared = &self.shared;
-        let open = shared.open_connections.load(Ordering::Relaxed);
+        let begun = Instant::now();
+        let open = shared.connections.len();
         shared.stopping.store(true, Ordering::Relaxed);
         shared.fleet_changed.notify_waiters();
         shared.journal.note(&Event::Stopping { open });
         let grace = Duration::from_secs_f64(shared.settings().bounds.grace_s);
-        let deadline = Instant::now() + grace.saturating_sub(GRACE_MARGIN);
+        let deadline = begun + grace.saturating_sub(GRACE_MARGIN);
         sleep(STOP_ACCEPT_DELAY.min(grace / 2)).await;
         self.stop.send_replace(true);
         loop {
             sleep(STOP_CHECK_INTERVAL).await;
-            if shared.open_connections.load(Ordering::Relaxed) == 0 || Instant::now() >= deadline {
+            if shared.connections.len() == 0 || Instant::now() >= deadline {
                 break;
             }
         }
+        report_end(shared, begun);
         shared.journal.flush();
         // Gives the writer thread of the log time for the last lines.
         sleep(STOP_CHECK_INTERVAL).await;
     }
 }
 
+/// Logs the end of a process that was asked to stop at `begun`, and the requests that it cuts off.
+fn report_end<P>(shared: &Shared<P>, begun: Instant) {
+    let census = shared.connections.census();
+    let open = shared.connections.len();
+    shared.journal.note(&Event::Stopped { after_ms: millis(begun.elapsed()), open, census });
+    let now = shared.now();
+    for progress in shared.connections.unfinished().iter().take(MAX_CUT_LINES) {
+        shared.journal.note(&Event::Cut {
+            request: &progress.request,
+            route: &progress.route,
+            target: &progress.target,
+            stage: progress.stage,
+            total_ms: millis(now.since(progress.arrived)),
+        });
+    }
+}
+
 /// Opens a listener and sets the port of `address` to the one that it got.
 async fn bind(address: &mut SocketAddr) -> Result<TcpListener, Error> {
     let requested = *address;
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -21,6 +21,7 @@
 use crate::body::Answer;
 use crate::journal::Event;
 use crate::port::{Head, Platform};
+use crate::progress::{Key, Progress, Stage};
 use crate::refusal::Refusal;
 use crate::request::{Job, millis, remove_hop_by_hop, target_uri};
 use crate::routing;
@@ -59,7 +60,8 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(handle_connection(shared.clone(), stream, connection_stop.clone()));
+                let guard = ConnectionGuard::new(&shared);
+                tokio::spawn(handle_connection(guard, stream, connection_stop.clone()));
             }
             // Usually too many files are open. New connections wait in the socket's backlog.
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
@@ -68,11 +70,11 @@
 }
 
 async fn handle_connection<P: Platform>(
-    shared: Arc<Shared<P>>,
+    guard: ConnectionGuard<P>,
     stream: TcpStream,
     mut stop: watch::Receiver<bool>,
 ) {
-    let _guard = ConnectionGuard::new(&shared);
+    let (shared, key) = (&guard.shared, guard.key);
     // A failure only adds latency to small responses.
     let _result = stream.set_nodelay(true);
     let limits = shared.knowledge().table.limits();
@@ -80,7 +82,7 @@
         let shared = shared.clone();
         service_fn(move |request| {
             let shared = shared.clone();
-            async move { Ok::<_, Infallible>(respond(&shared, request).await) }
+            async move { Ok::<_, Infallible>(respond(&shared, key, request).await) }
         })
     };
     let connection = http1::Builder::new()
@@ -100,23 +102,40 @@
 }
 
 /// Counts a connection as open until this is dropped.
-struct ConnectionGuard<P>(Arc<Shared<P>>);
+struct ConnectionGuard<P> {
+    shared: Arc<Shared<P>>,
+    key: Key,
+}
 
 impl<P> ConnectionGuard<P> {
     fn new(shared: &Arc<Shared<P>>) -> ConnectionGuard<P> {
-        shared.open_connections.fetch_add(1, Ordering::Relaxed);
-        ConnectionGuard(shared.clone())
+        ConnectionGuard { shared: shared.clone(), key: shared.connections.open() }
     }
 }
 
 impl<P> Drop for ConnectionGuard<P> {
     fn drop(&mut self) {
-        self.0.open_connections.fetch_sub(1, Ordering::Relaxed);
+        self.shared.connections.close(self.key);
     }
 }
 
+/// Answers a request of the connection `key`, and records how far it is.
 async fn respond<P: Platform>(
     shared: &Arc<Shared<P>>,
+    key: Key,
+    request: Request<Incoming>,
+) -> Response<Answer> {
+    let response = handle_request(shared, key, request).await;
+    // A stream records its end itself.
+    if !response.body().is_stream() {
+        shared.connections.set_stage(key, Stage::Answered);
+    }
+    response
+}
+
+async fn handle_request<P: Platform>(
+    shared: &Arc<Shared<P>>,
+    key: Key,
     request: Request<Incoming>,
 ) -> Response<Answer> {
     let arrived_at = shared.now();
@@ -146,6 +165,14 @@
         Ok(destination) => destination,
         Err(refusal) => return refuse(shared, &head, &refusal),
     };
+    let progress = Progress {
+        request: head.id.clone(),
+        route: destination.route.name.clone(),
+        stage: Stage::Reading,
+        arrived: arrived_at,
+        ..Progress::default()
+    };
+    shared.connections.begin(key, progress);
     let is_too_large = body.size_hint().lower() > limits.body_bytes as u64;
     let expected_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     let reserved_bytes =
@@ -176,6 +203,7 @@
         head.deadline.unwrap_or(destination.route.timeout).min(destination.route.timeout);
     let job = Job {
         shared: shared.clone(),
+        connection: key,
         head,
         service: destination.service,
         workspace: destination.workspace,
--- a/gateway/src/journal.rs
+++ b/gateway/src/journal.rs
@@ -17,6 +17,7 @@
 
 use crate::clock::Clock;
 use crate::port::Kind;
+use crate::progress::{Census, Stage};
 
 /// Size at which a batch is passed to the writer thread.
 const BATCH_BYTES: usize = 8 << 10;
@@ -38,6 +39,16 @@
     Started { instance: &'a str, failure_domain: &'a str, version: &'a str, first_start: bool },
     /// The process was asked to stop.
     Stopping { open: usize },
+    /// The process ends: how long after it was asked to, and how far the requests are on the
+    /// connections that are still open.
+    Stopped {
+        after_ms: u64,
+        open: usize,
+        #[serde(flatten)]
+        census: Census,
+    },
+    /// The end of the process cuts off a request, or the rest of its answer.
+    Cut { request: &'a str, route: &'a str, target: &'a str, stage: Stage, total_ms: u64 },
     /// The settings were read again.
     Reloaded { changed: bool, error: &'a str },
     /// The store, or one kind of its objects, can't be read.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `peers` | state that entries exchange |
 //! | `lapse` | registrations of entries that are gone |
 //! | [`pool`], `socket` | connections to targets and to the store |
+//! | `progress` | connections of callers, and how far their requests are |
 //! | `journal`, `metrics`, `ready` | log, metrics and readiness |
 
 mod apply;
@@ -35,6 +36,7 @@
 mod peers;
 pub mod pool;
 pub mod port;
+mod progress;
 mod quarantine;
 mod ready;
 mod reason;
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -17,6 +17,7 @@
 use crate::journal::{Event, Parts};
 use crate::memory::Reservation;
 use crate::port::{Envelope, Head, Malformed, Outgoing, Platform};
+use crate::progress::{self, Stage};
 use crate::quarantine;
 use crate::reason::Reason;
 use crate::refusal::{Denial, Refusal};
@@ -58,6 +59,8 @@
 pub(crate) struct Job<P> {
     /// State of the entry, shared by all requests.
     pub(crate) shared: Arc<Shared<P>>,
+    /// Connection that the request came on.
+    pub(crate) connection: progress::Key,
     /// What the platform read from the header of the request.
     pub(crate) head: Head,
     /// Route of the request.
@@ -136,6 +139,11 @@
         if now >= self.deadline {
             return Err(Denial::DeadlinePassed);
         }
+        let stage = if self.send_count == 0 { Stage::Waiting } else { Stage::Between };
+        // A stream that has begun stays one.
+        if !is_resumed {
+            self.shared.connections.set_stage(self.connection, stage);
+        }
         quarantine::check(&self.shared, &self.head)?;
         let requirements = self.requirements(now, is_resumed);
         let permit = match self.may_have_arrived {
@@ -270,6 +278,7 @@
     /// Counts and logs that the request is sent to `slot`.
     pub(crate) fn record_sent(&mut self, slot: &Slot<P>) {
         self.send_count += 1;
+        self.shared.connections.record_sent(self.connection, &slot.target.id);
         self.shared.journal.note(&Event::Sent {
             request: &self.head.id,
             route: &self.route.name,
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -1,7 +1,7 @@
 //! State that the modules of one entry share: what it knows, and which requests are in progress.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
@@ -23,6 +23,7 @@
 use crate::peers::{Neighbor, Peers};
 use crate::pool::{self, Pool};
 use crate::port::Entry;
+use crate::progress::Connections;
 use crate::relay::pack::Packer;
 use crate::retry::{Retries, Verdict};
 use crate::settings::Settings;
@@ -55,8 +56,8 @@
     pub(crate) load_changed: Notify,
     /// Notified when the list of instances, or what is known of them, has changed.
     pub(crate) fleet_changed: Notify,
-    /// Number of open connections of callers.
-    pub(crate) open_connections: AtomicUsize,
+    /// Open connections of callers.
+    pub(crate) connections: Connections,
     /// Retry budgets of the services.
     pub(crate) retries: Retries,
     /// Whether a caller's request has arrived, here or at a peer.
@@ -148,7 +149,7 @@
             wait_queue: WaitQueue::default(),
             load_changed: Notify::new(),
             fleet_changed: Notify::new(),
-            open_connections: AtomicUsize::new(0),
+            connections: Connections::default(),
             retries,
             has_seen_request: AtomicBool::new(false),
             store_up: AtomicBool::new(false),
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -15,6 +15,7 @@
 use crate::journal::Event;
 use crate::pool::{Connection, Reply};
 use crate::port::{Platform, Run};
+use crate::progress::Stage;
 use crate::quarantine;
 use crate::reason::Reason;
 use crate::refusal::{Denial, Refusal};
@@ -98,6 +99,7 @@
     response.headers_mut().remove(header::CONTENT_LENGTH);
     let (sender, answer) =
         Answer::stream(job.shared.buffer_limiter.read_ahead(MAX_READ_AHEAD_BYTES));
+    job.shared.connections.set_stage(job.connection, Stage::Streaming);
     tokio::spawn(forward(job, upstream, sender));
     response.map(|()| answer)
 }
@@ -135,6 +137,7 @@
                     quarantine::record_answer(&shared, &mut upstream.slot, &job.head.prompt);
                 }
                 upstream.slot.finish(Completion::Answered);
+                shared.connections.set_stage(job.connection, Stage::Answered);
                 return job.record_end(&target, status, "answered", times);
             }
             Err(Reason::CallerLeft) => {
@@ -158,9 +161,13 @@
             next = resume(&mut job, last_event, &mut may_have_run) => next,
         };
         match next {
-            Ok(next) => upstream = next,
+            Ok(next) => {
+                shared.connections.set_stage(job.connection, Stage::Streaming);
+                upstream = next;
+            }
             Err(reason) => {
                 job.record_end(&target, status, reason, times);
+                shared.connections.set_stage(job.connection, Stage::Answered);
                 return sender.fail().await;
             }
         }
