--- a/decision/src/gateway.rs
+++ b/decision/src/gateway.rs
@@ -13,6 +13,7 @@
 //! | Which era of the store does a response belong to? | [`era::Tracker`] |
 //! | Which parts of prompts crash replicas and are not sent any more? | [`quarantine::Quarantine`] |
 //! | Which registrations of entries that are gone are removed? | [`registration::Absences`] |
+//! | May a stopping entry still pass it on? | [`grace::Grace`] |
 //! | Which objects stay in force after the store was restored? | [`hold::Holds`] |
 //! | Which replicas to form, repair or end, where to stage weights? | [`formation::Formation`] |
 
@@ -28,6 +29,7 @@
 pub mod exchange;
 pub mod fleet;
 pub mod formation;
+pub mod grace;
 pub mod hold;
 pub mod prompt;
 pub mod quarantine;
--- a/decision/tests/gateway/main.rs
+++ b/decision/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod exchange;
 mod fleet;
 mod formation;
+mod grace;
 mod hold;
 mod opening;
 mod owner;
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -4,10 +4,10 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use decision::backoff::Backoff;
 use decision::gateway::balance::hash;
+use decision::gateway::grace::{self, Grace};
 use decision::prelude::*;
 use http::StatusCode;
 use serde_json::Value;
@@ -15,7 +15,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::{sleep, sleep_until};
 
 use crate::clock::Clock;
 use crate::error::Error;
@@ -26,13 +26,6 @@
 use crate::state::{Counts, Shared};
 use crate::{apply, follow, intake, lapse, owner, peers, quarantine, ready, relay, wait};
 
-/// Time for which a stopping entry still accepts new connections: the platform checks its readiness
-/// once a second, and sends it no more connections after two failed checks.
-const STOP_ACCEPT_DELAY: Duration = Duration::from_millis(2_600);
-
-/// Time before the end of the grace period at which the process ends at the latest.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
-
 /// Interval at which a stopping entry checks whether connections are open.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -174,25 +167,21 @@
         }
     }
 
-    /// Stops the entry: becomes unready, stops accepting connections after a delay, and waits for
-    /// open ones until the grace period is nearly over.
+    /// Stops the entry: becomes unready, stops accepting connections after a delay, waits for open
+    /// ones, and answers what is left shortly before the end of the grace period.
     pub async fn stop(self) {
         let shared = &self.shared;
-        let begun = Instant::now();
-        let open = shared.connections.len();
-        shared.stopping.store(true, Ordering::Relaxed);
+        let begun = shared.now();
+        let length = Duration::from_secs_f64(shared.settings().bounds.grace_s);
+        let grace = Grace::new(begun, length, grace::Settings::default());
+        shared.stop.begin(grace);
         shared.fleet_changed.notify_waiters();
-        shared.journal.note(&Event::Stopping { open });
-        let grace = Duration::from_secs_f64(shared.settings().bounds.grace_s);
-        let deadline = begun + grace.saturating_sub(GRACE_MARGIN);
-        sleep(STOP_ACCEPT_DELAY.min(grace / 2)).await;
+        shared.journal.note(&Event::Stopping { open: shared.connections.len() });
+        sleep_until(shared.clock.instant(grace.accepts_until())).await;
         self.stop.send_replace(true);
-        loop {
-            sleep(STOP_CHECK_INTERVAL).await;
-            if shared.connections.len() == 0 || Instant::now() >= deadline {
-                break;
-            }
-        }
+        wait_for_connections(shared, grace.closes_at()).await;
+        shared.stop.close();
+        wait_for_connections(shared, grace.ends_at()).await;
         report_end(shared, begun);
         shared.journal.flush();
         // Gives the writer thread of the log time for the last lines.
@@ -200,12 +189,23 @@
     }
 }
 
+/// Waits until no connection of a caller is open, until `end` at most.
+async fn wait_for_connections<P>(shared: &Shared<P>, end: Time) {
+    loop {
+        let now = shared.now();
+        if shared.connections.len() == 0 || now >= end {
+            return;
+        }
+        sleep(STOP_CHECK_INTERVAL.min(end.since(now))).await;
+    }
+}
+
 /// Logs the end of a process that was asked to stop at `begun`, and the requests that it cuts off.
-fn report_end<P>(shared: &Shared<P>, begun: Instant) {
+fn report_end<P>(shared: &Shared<P>, begun: Time) {
     let census = shared.connections.census();
     let open = shared.connections.len();
-    shared.journal.note(&Event::Stopped { after_ms: millis(begun.elapsed()), open, census });
     let now = shared.now();
+    shared.journal.note(&Event::Stopped { after_ms: millis(now.since(begun)), open, census });
     for progress in shared.connections.unfinished().iter().take(MAX_CUT_LINES) {
         shared.journal.note(&Event::Cut {
             request: &progress.request,
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -19,11 +19,14 @@
 use tokio::time::timeout;
 
 use crate::body::Answer;
-use crate::journal::Event;
+use crate::journal::{Event, Parts};
 use crate::port::{Head, Platform};
 use crate::progress::{Key, Progress, Stage};
+use crate::reason::Reason;
 use crate::refusal::Refusal;
-use crate::request::{Job, millis, remove_hop_by_hop, target_uri};
+use crate::request::{
+    ENTRY_ENDS, Job, MIN_RETRY_AFTER, STOP_COUNTER, millis, remove_hop_by_hop, target_uri,
+};
 use crate::routing;
 use crate::state::Shared;
 use crate::{call, stream};
@@ -125,7 +128,12 @@
     key: Key,
     request: Request<Incoming>,
 ) -> Response<Answer> {
-    let response = handle_request(shared, key, request).await;
+    let mut response = tokio::select! {
+        biased;
+        response = handle_request(shared, key, request) => response,
+        () = shared.stop.closing() => end_request(shared, key),
+    };
+    shared.stop.mark(&mut response);
     // A stream records its end itself.
     if !response.body().is_stream() {
         shared.connections.set_stage(key, Stage::Answered);
@@ -133,6 +141,39 @@
     response
 }
 
+/// Answers a request that has no answer when the process ends: it did not run, or may have.
+fn end_request<P: Platform>(shared: &Shared<P>, key: Key) -> Response<Answer> {
+    let progress = shared.connections.get(key).unwrap_or_default();
+    if progress.stage != Stage::Sent && !progress.may_have_run {
+        shared.metrics.count(STOP_COUNTER, "outcome=\"refused\"");
+        let head = Head { id: progress.request, ..Head::default() };
+        return refuse(shared, &head, &Refusal::retryable(ENTRY_ENDS, MIN_RETRY_AFTER));
+    }
+    shared.metrics.count(STOP_COUNTER, "outcome=\"unknown\"");
+    let status = StatusCode::GATEWAY_TIMEOUT;
+    let total_ms = millis(shared.now().since(progress.arrived));
+    shared.journal.note(&Event::Failed {
+        request: &progress.request,
+        target: &progress.target,
+        reason: Reason::EntryEnds.name(),
+        ran: "unknown",
+        after_ms: total_ms,
+        writing_ms: None,
+        prompt: Parts(&[]),
+    });
+    shared.journal.note(&Event::Ended {
+        request: &progress.request,
+        route: &progress.route,
+        target: &progress.target,
+        status: status.as_u16(),
+        outcome: "unknown",
+        first_ms: total_ms,
+        pause_ms: 0,
+        total_ms,
+    });
+    Refusal::new(status, ENTRY_ENDS).response()
+}
+
 async fn handle_request<P: Platform>(
     shared: &Arc<Shared<P>>,
     key: Key,
@@ -215,7 +256,9 @@
         body,
         _held: [reservation, remainder],
         arrived: arrived_at,
+        limit: arrived_at + time_limit,
         deadline: arrived_at + time_limit,
+        sent: None,
         attempted: Vec::new(),
         excluded: Vec::new(),
         send_count: 0,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -13,7 +13,7 @@
 //! | `peers` | state that entries exchange |
 //! | `lapse` | registrations of entries that are gone |
 //! | [`pool`], `socket` | connections to targets and to the store |
-//! | `progress` | connections of callers, and how far their requests are |
+//! | `progress`, `stop` | connections of callers, how far their requests are, and their end in a planned stop |
 //! | `journal`, `metrics`, `ready` | log, metrics and readiness |
 
 mod apply;
@@ -50,6 +50,7 @@
 mod socket;
 pub mod splitter;
 mod state;
+mod stop;
 mod stream;
 mod wait;
 
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -148,7 +148,7 @@
                 self.give_up("the store was restored from an older copy")
             }
             (Some(_), _) if self.is_stale(now) => self.give_up("a peer knows the instances better"),
-            (Some(_), _) if self.is_stopping() => self.give_up("the process is stopping"),
+            (Some(_), _) if self.shared.stop.has_begun() => self.give_up("the process is stopping"),
             (Some(_), _) => self.plan(now),
             (None, Some(_)) => self.vacant_since = now,
             (None, None) if self.may_acquire(now) => self.acquire().await,
@@ -156,10 +156,6 @@
         }
     }
 
-    fn is_stopping(&self) -> bool {
-        self.shared.stopping.load(std::sync::atomic::Ordering::Relaxed)
-    }
-
     /// Returns whether the store hasn't answered for long here, and a peer reaches it.
     fn is_stale(&mut self, now: Time) -> bool {
         if self.shared.is_store_up() {
@@ -175,7 +171,7 @@
         let has_knowledge = knowledge.fleet_confirmed_at.is_some() && knowledge.table.version() > 0;
         let entries = knowledge.entries.len();
         drop(knowledge);
-        if !has_knowledge || self.is_stopping() {
+        if !has_knowledge || self.shared.stop.has_begun() {
             return false;
         }
         let settings = self.shared.settings();
--- a/gateway/src/peers/send.rs
+++ b/gateway/src/peers/send.rs
@@ -186,7 +186,7 @@
             owner_fence,
             has_store: shared.has_recent_store(),
             has_history: shared.has_fleet_history(),
-            is_leaving: shared.stopping.load(Ordering::Relaxed),
+            is_leaving: shared.stop.has_begun(),
         };
         let has_seen_request = shared.has_seen_request.load(Ordering::Relaxed);
         OwnState {
--- a/gateway/src/progress.rs
+++ b/gateway/src/progress.rs
@@ -42,6 +42,8 @@
     pub(crate) target: Arc<str>,
     /// How far it is.
     pub(crate) stage: Stage,
+    /// Whether a target may have run it in an attempt that has ended.
+    pub(crate) may_have_run: bool,
     /// When its head was read.
     pub(crate) arrived: Time,
 }
@@ -95,6 +97,20 @@
         self.change(key, |it| *it = progress);
     }
 
+    /// Returns how far the request of a connection is, if that is open.
+    pub(crate) fn get(&self, key: Key) -> Option<Progress> {
+        self.state().open.get(&key).cloned()
+    }
+
+    /// Records that the request of a connection waits for a target, and what became of the attempts
+    /// before.
+    pub(crate) fn record_wait(&self, key: Key, stage: Stage, may_have_run: bool) {
+        self.change(key, |it| {
+            it.stage = stage;
+            it.may_have_run = may_have_run;
+        });
+    }
+
     /// Records how far the request of a connection is.
     pub(crate) fn set_stage(&self, key: Key, stage: Stage) {
         self.change(key, |it| it.stage = stage);
--- a/gateway/src/reason.rs
+++ b/gateway/src/reason.rs
@@ -33,6 +33,8 @@
     DeadlinePassed,
     /// The caller disconnected.
     CallerLeft,
+    /// This entry's process ends.
+    EntryEnds,
 }
 
 impl Reason {
@@ -64,6 +66,7 @@
             Reason::Silent => "silent",
             Reason::DeadlinePassed => "deadline",
             Reason::CallerLeft => "caller left",
+            Reason::EntryEnds => "the entry ends",
         }
     }
 }
--- a/gateway/src/refusal.rs
+++ b/gateway/src/refusal.rs
@@ -17,6 +17,8 @@
     DeadlinePassed,
     /// The retry budget of the service is spent.
     RetryBudgetSpent,
+    /// This entry stops, and the request would not end in time.
+    EntryEnds,
     /// A part of its prompt crashes replicas.
     Quarantined,
 }
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -7,6 +7,7 @@
 use decision::gateway::backlog::{Lane, Waiter};
 use decision::gateway::balance::{Choice, Key, Requirements};
 use decision::gateway::config::{Route, Service};
+use decision::gateway::grace::Sample;
 use decision::prelude::*;
 use http::header::{self, HeaderName};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, request};
@@ -33,8 +34,14 @@
 /// third of that time.
 const MAX_RETRY_AFTER_DIVISOR: u32 = 4;
 
+/// Reason of a refusal by an entry that stops.
+pub(crate) const ENTRY_ENDS: &str = "the entry ends";
+
+/// Counter of requests that the stop of the entry ends, by outcome.
+pub(crate) const STOP_COUNTER: &str = "rhubarblatch_stop_requests_total";
+
 /// Smallest value of `retry-after`.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+pub(crate) const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Delay after which a caller may retry a request whose prompt crashes replicas: as late as it will.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
@@ -86,7 +93,11 @@
     /// When the header of the request was read.
     pub(crate) arrived: Time,
     /// When the request times out, by the timeout of the caller or of the route.
+    pub(crate) limit: Time,
+    /// Until when it may be at its targets: its limit, or the end of an entry that stops.
     pub(crate) deadline: Time,
+    /// When it was first sent. Absent before.
+    pub(crate) sent: Option<Time>,
     /// Targets that may have run the request.
     pub(crate) attempted: Vec<Key>,
     /// Targets that the request is not sent to again.
@@ -136,13 +147,15 @@
     /// Returns the reason why no target is available.
     pub(crate) async fn acquire_slot(&mut self, is_resumed: bool) -> Result<Slot<P>, Denial> {
         let now = self.shared.now();
-        if now >= self.deadline {
-            return Err(Denial::DeadlinePassed);
-        }
-        let stage = if self.send_count == 0 { Stage::Waiting } else { Stage::Between };
         // A stream that has begun stays one.
         if !is_resumed {
-            self.shared.connections.set_stage(self.connection, stage);
+            let stage = if self.send_count == 0 { Stage::Waiting } else { Stage::Between };
+            let may_have_run = !self.attempted.is_empty();
+            self.shared.connections.record_wait(self.connection, stage, may_have_run);
+        }
+        self.keep_to_grace(now)?;
+        if now >= self.deadline {
+            return Err(Denial::DeadlinePassed);
         }
         quarantine::check(&self.shared, &self.head)?;
         let requirements = self.requirements(now, is_resumed);
@@ -161,6 +174,8 @@
         };
         // The part may have been quarantined during the wait.
         let slot = slot.and_then(|it| quarantine::check(&self.shared, &self.head).map(|()| it));
+        // The stop may have begun during the wait.
+        let slot = slot.and_then(|it| self.keep_to_grace(self.shared.now()).map(|()| it));
         if slot.is_ok() {
             self.shared.load_changed.notify_one();
             permit.into_iter().for_each(Permit::record_use);
@@ -168,6 +183,34 @@
         slot
     }
 
+    /// Bounds the deadline by the end of this entry, if it stops.
+    ///
+    /// # Errors
+    ///
+    /// If the request would not end in time. Once it may have run it can't be refused any more, and
+    /// is tried as long as there is time.
+    fn keep_to_grace(&mut self, now: Time) -> Result<(), Denial> {
+        let stop = &self.shared.stop;
+        if self.attempted.is_empty()
+            && stop.admit(now, self.limit, &self.route.name, self.head.max_output_tokens).is_none()
+        {
+            return Err(Denial::EntryEnds);
+        }
+        self.deadline = stop.bound(self.deadline);
+        Ok(())
+    }
+
+    /// Records what the request took at its targets since it was first sent.
+    fn record_time(&self, times: Times) {
+        let Some(sent) = self.sent else { return };
+        let now = self.shared.now();
+        let total = now.since(sent);
+        let first = times.first_event.map(|it| (self.arrived + it).since(sent)).unwrap_or(total);
+        let tokens = self.head.max_output_tokens;
+        let sample = Sample { first, writing: total.saturating_sub(first), tokens };
+        self.shared.stop.record(now, &self.route.name, sample);
+    }
+
     /// Returns the permit of an earlier decision to send the request once more, or else asks for
     /// one.
     fn take_permit(&mut self) -> Option<Permit<P>> {
@@ -278,6 +321,7 @@
     /// Counts and logs that the request is sent to `slot`.
     pub(crate) fn record_sent(&mut self, slot: &Slot<P>) {
         self.send_count += 1;
+        self.sent.get_or_insert(self.shared.now());
         self.shared.connections.record_sent(self.connection, &slot.target.id);
         self.shared.journal.note(&Event::Sent {
             request: &self.head.id,
@@ -339,6 +383,9 @@
     pub(crate) fn record_end(&self, target: &str, status: StatusCode, outcome: &str, times: Times) {
         let first = times.first_event.unwrap_or_else(|| self.shared.now().since(self.arrived));
         let is_slow = self.route.max_event_gap.is_some_and(|it| times.max_gap > it);
+        if outcome != "left" {
+            self.record_time(times);
+        }
         if outcome != "left" && (first > self.route.objective || is_slow || !status.is_success()) {
             self.record_miss();
         }
@@ -367,12 +414,16 @@
             Denial::NoTarget => ("no target", Duration::from_millis(500)),
             Denial::DeadlinePassed => ("its time is over", Duration::from_millis(500)),
             Denial::RetryBudgetSpent => ("the retry budget is spent", Duration::from_millis(300)),
+            Denial::EntryEnds => {
+                self.shared.metrics.count(STOP_COUNTER, "outcome=\"refused\"");
+                (ENTRY_ENDS, MIN_RETRY_AFTER)
+            }
             Denial::Quarantined => ("its prompt crashes replicas", QUARANTINE_RETRY_AFTER),
         };
         let latest = (remaining / MAX_RETRY_AFTER_DIVISOR).max(MIN_RETRY_AFTER);
         let jitter = rand::rng().random_range(0.75..1.25);
         let retry_after = retry_after.mul_f64(jitter).clamp(MIN_RETRY_AFTER, latest);
-        if denial != Denial::Quarantined {
+        if !matches!(denial, Denial::Quarantined | Denial::EntryEnds) {
             self.record_miss();
         }
         self.refuse(&Refusal::retryable(reason, retry_after))
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -27,6 +27,7 @@
 use crate::relay::pack::Packer;
 use crate::retry::{Retries, Verdict};
 use crate::settings::Settings;
+use crate::stop::Stop;
 use crate::wait::WaitQueue;
 
 /// Interval of keepalive pings on a connection to the store.
@@ -66,8 +67,8 @@
     pub(crate) store_up: AtomicBool,
     /// State received from peers.
     pub(crate) peers: Peers,
-    /// Whether the process is stopping.
-    pub(crate) stopping: AtomicBool,
+    /// The planned stop of the process.
+    pub(crate) stop: Stop,
     /// Notified when the objects that peers can read here have changed.
     pub(crate) mirror_changed: Notify,
     /// The known era of the store; changes when the store was restored from an older copy.
@@ -154,7 +155,7 @@
             has_seen_request: AtomicBool::new(false),
             store_up: AtomicBool::new(false),
             peers: Peers::default(),
-            stopping: AtomicBool::new(false),
+            stop: Stop::default(),
             mirror_changed: Notify::new(),
             era: watch::Sender::new(Era::default()),
             is_era_stated: AtomicBool::new(false),
@@ -289,7 +290,7 @@
     /// Returns whether this entry should get new connections: it is not stopping, its configuration
     /// is fresh, and a service has a healthy target.
     pub(crate) fn is_ready(&self) -> bool {
-        if self.stopping.load(Ordering::Relaxed) || !self.is_informed.load(Ordering::Relaxed) {
+        if self.stop.has_begun() || !self.is_informed.load(Ordering::Relaxed) {
             return false;
         }
         let knowledge = self.knowledge();
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -19,7 +19,7 @@
 use crate::quarantine;
 use crate::reason::Reason;
 use crate::refusal::{Denial, Refusal};
-use crate::request::{Job, Times, remove_hop_by_hop};
+use crate::request::{ENTRY_ENDS, Job, STOP_COUNTER, Times, remove_hop_by_hop};
 use crate::slot::Slot;
 use crate::splitter::Splitter;
 
@@ -128,6 +128,7 @@
             result = forward_events(
                 &mut job, &mut upstream, &mut splitter, &mut timer, &sender
             ) => result,
+            () = shared.stop.closing() => Err(Reason::EntryEnds),
         };
         let times = timer.times;
         match result {
@@ -147,7 +148,10 @@
             Err(reason) => {
                 job.record_failure(&upstream.slot, reason, "unknown");
                 let key = upstream.slot.key;
-                upstream.slot.finish(Completion::Failed);
+                upstream.slot.finish(match reason {
+                    Reason::EntryEnds => Completion::Cancelled,
+                    _ => Completion::Failed,
+                });
                 job.excluded.push(key);
                 job.attempted.push(key);
             }
@@ -191,6 +195,10 @@
     last_event: Option<Arc<str>>,
     may_have_run: &mut bool,
 ) -> Result<Upstream<P>, &'static str> {
+    if job.shared.stop.is_closing() {
+        job.shared.metrics.count(STOP_COUNTER, "outcome=\"broken\"");
+        return Err(ENTRY_ENDS);
+    }
     if !job.route.is_idempotent() {
         return Err("broken");
     }
