Bound what a connection to a target reads at once

Cause: the client connections had the library's default, which keeps up to 417,792 bytes of a head until it is complete, and as much of a body that isn't read yet, for every connection and outside of the memory budget. The listeners for readiness, metrics and peers had the same for heads of requests. Reports and answers to orders might have 1 MiB each, and pieces of a body were kept as views, so that a piece of one byte kept the buffer that it was read with.

A connection now reads 16 KiB at once (the least that the library takes is 8 KiB), and a longer head is given up with a reason of its own, `head too long`: a failure of the target, without the check for a crash that a broken connection brings. Reports and answers to orders have at most 64 KiB, as the check of a target had, and are copied piece by piece.

a_head_without_end_is_given_up_at_its_limit was red before (the call waits for ever: not given up within 10 s) and is green with the bound.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -153,6 +153,7 @@
         Err(Call::Unsent) => {
             return (Attempt::NotRun(Reason::ConnectionClosed), Completion::Failed);
         }
+        Err(Call::Large) => return (Attempt::Unknown(Reason::LargeHead), Completion::Failed),
         Err(_) => return (Attempt::Unknown(Reason::ConnectionBroke), Completion::Failed),
     };
     let (head, body) = response.into_parts();
--- a/gateway/src/order.rs
+++ b/gateway/src/order.rs
@@ -26,7 +26,7 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Largest response of an instance, in bytes.
-const MAX_RESPONSE_BYTES: usize = 1 << 20;
+const MAX_RESPONSE_BYTES: usize = 64 << 10;
 
 /// Delays before the report is requested again: a report shows the state of the instance some
 /// hundred milliseconds earlier.
--- a/gateway/src/owner/probe.rs
+++ b/gateway/src/owner/probe.rs
@@ -30,7 +30,7 @@
 const MAX_MISSED_PROBES: u32 = 2;
 
 /// Largest response of an instance, in bytes.
-const MAX_RESPONSE_BYTES: usize = 1 << 20;
+const MAX_RESPONSE_BYTES: usize = 64 << 10;
 
 /// Results of the probes of one instance.
 #[derive(Clone, Copy, Debug, Default)]
--- a/gateway/src/pool.rs
+++ b/gateway/src/pool.rs
@@ -9,9 +9,9 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response, header};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -53,6 +53,9 @@
     }
 }
 
+/// Largest head of a response, in bytes. A connection reads at most this much at once.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
 /// Time before the server's announced idle timeout at which a connection is no longer reused.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -167,14 +170,7 @@
         let exchange = async {
             let response = self.send(address, request, Connection::Reused).await?;
             let (head, body) = response.into_parts();
-            let body = Limited::new(body, max_bytes).collect().await;
-            match body {
-                Ok(body) => Ok(Response::from_parts(head, body.to_bytes())),
-                Err(error) => Err(match error.downcast::<hyper::Error>() {
-                    Ok(error) => Call::Broken(*error),
-                    Err(_) => Call::Large,
-                }),
-            }
+            Ok(Response::from_parts(head, read(body, max_bytes).await?))
         };
         let result = timeout(time_limit, exchange).await;
         if result.is_err() {
@@ -229,9 +225,11 @@
             Ok(response) => response,
             Err(mut error) => {
                 let unsent = error.take_message();
+                let error = error.into_error();
                 let error = match unsent {
                     Some(_) => Call::Unsent,
-                    None => Call::Broken(error.into_error()),
+                    None if error.is_parse_too_large() => Call::Large,
+                    None => Call::Broken(error),
                 };
                 return Err((error, unsent));
             }
@@ -266,8 +264,11 @@
         }
         let progress = Progress::default();
         let socket = Socket::new(stream, progress.clone());
-        let (requests, connection) =
-            http1::handshake(TokioIo::new(socket)).await.map_err(Call::Broken)?;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(socket))
+            .await;
+        let (requests, connection) = handshake.map_err(Call::Broken)?;
         tokio::spawn(async move {
             // The request on the connection gets the error, and nothing else depends on it.
             let _result = connection.await;
@@ -276,6 +277,20 @@
     }
 }
 
+/// Reads a body of at most `max_bytes` to its end. Each piece is copied: a small one would keep all
+/// that was read with it in memory.
+async fn read(mut body: Reply, max_bytes: usize) -> Result<Bytes, Call> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(piece) = frame.map_err(Call::Broken)?.into_data() else { continue };
+        if bytes.len() + piece.len() > max_bytes {
+            return Err(Call::Large);
+        }
+        bytes.extend_from_slice(&piece);
+    }
+    Ok(bytes.freeze())
+}
+
 impl Shared {
     fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
--- a/gateway/src/ready.rs
+++ b/gateway/src/ready.rs
@@ -19,6 +19,9 @@
 /// Time in which the head of a request must arrive, also on an idle connection.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
@@ -36,6 +39,7 @@
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
+            .max_buf_size(MAX_HEAD_BYTES)
             .header_read_timeout(HEAD_TIMEOUT)
             .serve_connection(TokioIo::new(stream), service);
         tokio::spawn(async move {
--- a/gateway/src/reason.rs
+++ b/gateway/src/reason.rs
@@ -21,6 +21,8 @@
     NoRequest,
     /// The response has a content encoding.
     Encoded,
+    /// The head of the response exceeds its size limit.
+    LargeHead,
     /// The body of the response ended early or was too large.
     ResponseBrokeOff,
     /// The stream ended early.
@@ -60,6 +62,7 @@
             Reason::OtherRequest => "answer to another request",
             Reason::NoRequest => "answer to no request",
             Reason::Encoded => "answer is encoded",
+            Reason::LargeHead => "head too long",
             Reason::ResponseBrokeOff => "answer broke off",
             Reason::StreamBrokeOff => "stream broke off",
             Reason::LargeEvent => "event too long",
--- a/gateway/src/relay/serve.rs
+++ b/gateway/src/relay/serve.rs
@@ -26,6 +26,9 @@
 /// Largest body of a query.
 const MAX_QUERY_BYTES: usize = 1_024;
 
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
 /// Longest time for which a query is held until there is an update.
 const MAX_HOLD: Duration = Duration::from_secs(20);
 
@@ -48,6 +51,7 @@
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
+            .max_buf_size(MAX_HEAD_BYTES)
             .header_read_timeout(IDLE_TIMEOUT)
             .serve_connection(TokioIo::new(stream), service);
         tokio::spawn(async move {
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -461,6 +461,9 @@
         Err(Call::Unsent) => {
             return Err((Failure::NotRun(Reason::ConnectionClosed), Completion::Failed));
         }
+        Err(Call::Large) => {
+            return Err((Failure::Unknown(Reason::LargeHead), Completion::Failed));
+        }
         Err(_) => return Err((Failure::Unknown(Reason::ConnectionBroke), Completion::Failed)),
     };
     let (head, body) = response.into_parts();
--- a/gateway/tests/pool.rs
+++ b/gateway/tests/pool.rs
@@ -1,4 +1,4 @@
-//! What the connections of the pool leave behind.
+//! What the connections of the pool read, and what they leave behind.
 
 #![cfg(test)]
 
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gateway::error::Call;
 use gateway::pool::{Connection, Pool, Settings};
 use http::Request;
 use http_body_util::Full;
@@ -20,6 +21,9 @@
 /// More than the sockets of a connection hold.
 const LARGE_BYTES: usize = 32 << 20;
 
+/// More than a head may have.
+const LONG_HEAD_BYTES: usize = 20 << 10;
+
 fn request(bytes: usize) -> Request<Full<Bytes>> {
     Request::post("/x").body(Full::new(Bytes::from(vec![b'x'; bytes]))).expect("a request")
 }
@@ -99,3 +103,21 @@
     pool.close_idle(address);
     assert_eq!(server.await.expect("no panic").expect("an orderly end"), 0);
 }
+
+/// Guards against heads without end, which are kept until they are complete.
+#[tokio::test]
+async fn a_head_without_end_is_given_up_at_its_limit() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let target = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let head = [b"HTTP/1.1 200 OK\r\nX: ", &vec![b'x'; LONG_HEAD_BYTES][..]].concat();
+        drop(stream.write_all(&head).await);
+        std::future::pending::<()>().await;
+    });
+    let pool = Pool::new(Settings::default());
+    let sent = timeout(PATIENCE, pool.send(address, request(0), Connection::New)).await;
+    let result = sent.expect("the head is given up");
+    assert!(matches!(result, Err(Call::Large)), "{:?}", result.map(|it| it.status()));
+    target.abort();
+}
