Keep bodies of answers within the memory budget

Cause: each whole answer, and each body of a failure, might have 16 MiB, whatever the memory of the entry is, and outside of the budget for buffers. Six such answers fill the smallest settings in use (160 MB). A piece of one byte was kept with the buffer that it was read with.

What is read of an answer is now reserved before it is kept, and copied. One answer may take a quarter of the budget; answers above 64 KiB leave half of it to others, all answers leave a quarter to callers' bodies. The reservation goes with the bytes, until the last of them is on its way to the caller. An answer that may not be kept any further isn't refused: it is passed on while it arrives, at its caller's pace, and keeps its slot and its length. It can't be repeated elsewhere from then on, and ends visibly broken if its target breaks off or goes on beyond the deadline of the request; time that the caller makes the target wait doesn't count. `passed_on` and rhubarblatch_passed_on_answers_total tell of it. Answers above 16 MiB, a 502 before, are delivered.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -1,31 +1,27 @@
 //! Requests whose response is read as a whole before it is sent to the caller.
 
-use bytes::Bytes;
 use decision::gateway::balance::{Completion, Key};
-use http::{Response, StatusCode, header, response};
-use http_body_util::{BodyExt as _, Limited};
+use http::{Response, StatusCode, response};
 use tokio::time::timeout_at;
 
 use crate::body::Answer;
+use crate::content::{self, Content};
 use crate::error::Call;
-use crate::pool::{Connection, Reply};
+use crate::pool::Connection;
 use crate::port::{Platform, Run};
 use crate::quarantine;
 use crate::reason::Reason;
 use crate::refusal::{Denial, Refusal};
-use crate::request::{Job, Times, remove_hop_by_hop};
+use crate::request::{Job, Times};
 use crate::slot::Slot;
 
-/// Largest body of a response that is buffered, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
-
 /// An attempt that another one may follow times out after the objective of its route times this.
 const ATTEMPT_TIMEOUT_OBJECTIVES: u32 = 2;
 
 /// The result of one attempt.
-enum Attempt {
-    /// The target sent a response for the caller.
-    Answered(Box<response::Parts>, Bytes),
+enum Attempt<P> {
+    /// The target sent a response for the caller. It has its slot as long as it goes on.
+    Answered(Box<response::Parts>, Content, Option<Box<Slot<P>>>),
     /// The target did not run the request. Holds the reason.
     NotRun(Reason),
     /// The target may have run the request. Holds the reason.
@@ -44,14 +40,13 @@
         let (key, target) = (slot.key, slot.target.id.clone());
         let attempt = send(&mut job, slot).await;
         match attempt {
-            Attempt::Answered(head, body) => {
+            Attempt::Answered(head, content, slot) => {
                 let is_error = head.status.is_server_error();
                 if is_error && job.route.is_idempotent() && prepare_retry(&mut job, key) {
                     unknown_status = Some(StatusCode::BAD_GATEWAY);
                     continue;
                 }
-                job.record_end(&target, head.status, "answered", Times::default());
-                return forward(*head, body);
+                return content::forward(job, slot, &target, *head, content);
             }
             Attempt::NotRun(_) if job.shared.now() < job.deadline => {
                 job.excluded.push(key);
@@ -106,7 +101,7 @@
 }
 
 /// Makes one attempt, and logs its failure.
-async fn send<P: Platform>(job: &mut Job<P>, mut slot: Slot<P>) -> Attempt {
+async fn send<P: Platform>(job: &mut Job<P>, mut slot: Slot<P>) -> Attempt<P> {
     let request = job.outgoing(&slot, None);
     job.record_sent(&slot);
     let shared = job.shared.clone();
@@ -126,12 +121,15 @@
         Attempt::NotRun(reason) => Some(reason),
         Attempt::Answered(..) | Attempt::Unknown(_) => None,
     });
-    match &attempt {
+    match attempt {
+        Attempt::Answered(head, content @ Content::Part(_), _) => {
+            return Attempt::Answered(head, content, Some(Box::new(slot)));
+        }
         Attempt::Answered(..) => {
             quarantine::record_answer(&shared, &mut slot, &job.head.prompt);
         }
-        Attempt::NotRun(reason) => job.record_failure(&slot, *reason, "no"),
-        Attempt::Unknown(reason) => job.record_failure(&slot, *reason, "unknown"),
+        Attempt::NotRun(reason) => job.record_failure(&slot, reason, "no"),
+        Attempt::Unknown(reason) => job.record_failure(&slot, reason, "unknown"),
     }
     slot.finish(completion);
     attempt
@@ -142,7 +140,7 @@
     job: &Job<P>,
     slot: &Slot<P>,
     request: crate::port::Outgoing,
-) -> (Attempt, Completion) {
+) -> (Attempt<P>, Completion) {
     let connection = if job.route.is_idempotent() { Connection::Reused } else { Connection::New };
     let sent = job.shared.targets.send(slot.target.address, request, connection).await;
     let response = match sent {
@@ -170,11 +168,11 @@
         Run::Misdirected => return (Attempt::NotRun(Reason::OtherInstance), Completion::Failed),
         Run::Possible => {}
     }
-    match read_body(body).await {
-        Some(body) if !answer.encoded => {
-            (Attempt::Answered(Box::new(head), body), Completion::Answered)
-        }
-        Some(_) => (Attempt::Unknown(Reason::Encoded), Completion::Failed),
+    if answer.encoded {
+        return (Attempt::Unknown(Reason::Encoded), Completion::Failed);
+    }
+    match content::read(&job.shared.buffer_limiter, body).await {
+        Some(content) => (Attempt::Answered(Box::new(head), content, None), Completion::Answered),
         None => (Attempt::Unknown(Reason::ResponseBrokeOff), Completion::Failed),
     }
 }
@@ -184,19 +182,3 @@
 pub(crate) fn needs_id(run: Run, connection: Connection) -> bool {
     run == Run::Possible || connection == Connection::Reused
 }
-
-/// Reads a body to its end. Returns `None` if it breaks off or exceeds [`MAX_RESPONSE_BYTES`].
-pub(crate) async fn read_body(body: Reply) -> Option<Bytes> {
-    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    body.ok().map(|it| it.to_bytes())
-}
-
-/// Converts the response of a target, without hop-by-hop headers, into the one to the caller.
-pub(crate) fn forward(mut head: response::Parts, body: Bytes) -> Response<Answer> {
-    remove_hop_by_hop(&mut head.headers);
-    head.headers.remove(header::CONTENT_LENGTH);
-    let mut response = Response::new(Answer::whole(body));
-    *response.status_mut() = head.status;
-    *response.headers_mut() = head.headers;
-    response
-}
--- a/gateway/src/journal.rs
+++ b/gateway/src/journal.rs
@@ -135,6 +135,8 @@
         #[serde(skip_serializing_if = "Parts::is_empty")]
         prompt: Parts<'a>,
     },
+    /// More of an answer came than may be kept. The rest is passed on as its caller reads it.
+    PassedOn { request: &'a str, target: &'a str, kept_bytes: usize, after_ms: u64 },
     /// Whether a request may be sent once more, by this entry's share of the retry budget.
     Retry {
         request: &'a str,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! | modules | purpose |
 //! | --- | --- |
-//! | `intake`, `routing`, `request`, `retry`, `slot`, `call`, `stream`, `reason`, `refusal` | handling of callers' requests |
+//! | `intake`, `routing`, `request`, `retry`, `slot`, `call`, `content`, `stream`, `reason`, `refusal` | handling of callers' requests |
 //! | `follow`, `relay`, [`mirror`], `apply` | objects of the store, read from it or from a peer |
 //! | `inform` | what peers know better than a store that was restored |
 //! | `owner`, `order` | orders to instances, given by one entry at a time |
@@ -20,6 +20,7 @@
 mod body;
 mod call;
 mod clock;
+mod content;
 pub mod daemon;
 pub mod error;
 mod follow;
--- a/gateway/src/memory.rs
+++ b/gateway/src/memory.rs
@@ -4,15 +4,43 @@
 //! of a stream are read ahead of a caller that reads slowly, so that the target's connection
 //! doesn't stall: up to a bound per stream, and as long as the entry has memory left. Beyond that,
 //! only this stream waits for its caller.
+//!
+//! An answer that is read as a whole, or an event that isn't complete, may take a part of the
+//! memory and has to leave some to others, since its target may send bytes without end.
+
+mod hold;
 
 use std::sync::Arc;
 
 use bytes::Bytes;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
+pub use self::hold::{Full, Hold};
+
 /// Divisor of an entry's memory that gives the bytes for buffers.
 const BUFFER_DIVISOR: usize = 4;
 
+/// Divisor of the bytes for buffers that gives the largest size of one answer.
+const ANSWER_DIVISOR: usize = 4;
+
+/// Divisor of the bytes for buffers that gives those which answers leave to requests.
+const SPARED_DIVISOR: usize = 4;
+
+/// Divisor of the bytes for buffers that gives those which large answers leave to all others.
+const SPARED_BY_LARGE_DIVISOR: usize = 2;
+
+/// Size from which on an answer is large, in bytes.
+const LARGE_ANSWER_BYTES: usize = 64 << 10;
+
+/// What bytes are reserved for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Use {
+    /// The body of a caller's request, whose size the configuration bounds.
+    Request,
+    /// What a target answers. Its size has no other bound.
+    Answer,
+}
+
 /// Limiter of the buffered bytes of all requests and answers of an entry.
 #[derive(Clone, Debug)]
 pub struct Limiter {
@@ -23,7 +51,20 @@
 /// Bytes that stay reserved until this is dropped.
 #[derive(Debug)]
 pub struct Reservation {
-    _permit: OwnedSemaphorePermit,
+    permit: OwnedSemaphorePermit,
+}
+
+impl Reservation {
+    /// Returns the number of bytes that are reserved.
+    pub fn bytes(&self) -> usize {
+        self.permit.num_permits()
+    }
+
+    /// Gives back what is reserved beyond `bytes`.
+    fn shrink(&mut self, bytes: usize) {
+        let excess = self.bytes().saturating_sub(bytes);
+        drop(self.permit.split(excess));
+    }
 }
 
 /// Read-ahead buffer of one stream.
@@ -66,7 +107,42 @@
     pub fn reserve(&self, bytes: usize) -> Option<Reservation> {
         let bytes = u32::try_from(bytes).ok()?;
         let permit = self.available.clone().try_acquire_many_owned(bytes).ok()?;
-        Some(Reservation { _permit: permit })
+        Some(Reservation { permit })
+    }
+
+    /// Adds `bytes` to `reservation`, which was made here. Returns whether there is enough memory
+    /// for that `purpose`.
+    pub(crate) fn extend(&self, reservation: &mut Reservation, bytes: usize, purpose: Use) -> bool {
+        let size = reservation.bytes().saturating_add(bytes);
+        let spared = match purpose {
+            Use::Request => 0,
+            Use::Answer if size > self.max_bytes / ANSWER_DIVISOR => return false,
+            Use::Answer if size > LARGE_ANSWER_BYTES => self.max_bytes / SPARED_BY_LARGE_DIVISOR,
+            Use::Answer => self.max_bytes / SPARED_DIVISOR,
+        };
+        if self.available.available_permits() < bytes.saturating_add(spared) {
+            return false;
+        }
+        match self.reserve(bytes) {
+            Some(added) => {
+                reservation.permit.merge(added.permit);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Returns a hold for the body of a request of which `bytes` are expected, or `None` if there
+    /// is no memory left for them.
+    pub fn hold_request(&self, bytes: usize) -> Option<Hold> {
+        let reservation = self.reserve(bytes)?;
+        Some(Hold::new(self.clone(), Use::Request, reservation))
+    }
+
+    /// Returns a hold for what a target answers, or `None` if the limiter is closed.
+    pub fn hold_answer(&self) -> Option<Hold> {
+        let reservation = self.reserve(0)?;
+        Some(Hold::new(self.clone(), Use::Answer, reservation))
     }
 
     /// Returns the buffer of a stream that is read ahead by at most `max_bytes`.
--- a/gateway/src/reason.rs
+++ b/gateway/src/reason.rs
@@ -23,7 +23,7 @@
     Encoded,
     /// The head of the response exceeds its size limit.
     LargeHead,
-    /// The body of the response ended early or was too large.
+    /// The body of the response ended early.
     ResponseBrokeOff,
     /// The stream ended early.
     StreamBrokeOff,
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -11,6 +11,7 @@
 
 use crate::body::{Answer, Delivery, Disconnected, Sender};
 use crate::call;
+use crate::content::{self, Content};
 use crate::error::Call;
 use crate::journal::Event;
 use crate::pool::{Connection, Reply};
@@ -66,7 +67,7 @@
     /// The target may have run the request. Holds the reason.
     Unknown(Reason),
     /// The target responded with a status that is no success.
-    Answered(Box<response::Parts>, Bytes),
+    Answered(Box<response::Parts>, Content),
 }
 
 /// Why no target opens the stream.
@@ -76,7 +77,7 @@
     /// An attempt failed after which no other may follow. Holds the reason.
     Failed(Reason),
     /// A target responded with a status that is no success, which the caller gets.
-    Answered(Box<response::Parts>, Bytes),
+    Answered(Box<response::Parts>, Content),
 }
 
 /// Sends a request to targets until one opens the stream or no attempt is left. Returns the
@@ -85,9 +86,8 @@
     let mut may_have_run = false;
     let upstream = match open(&mut job, None, &mut may_have_run).await {
         Ok(upstream) => upstream,
-        Err(OpenError::Answered(head, body)) => {
-            job.record_end("", head.status, "answered", Times::default());
-            return call::forward(*head, body);
+        Err(OpenError::Answered(head, content)) => {
+            return content::forward(job, None, "", *head, content);
         }
         Err(OpenError::Denied(denial)) if !may_have_run => return job.deny(denial),
         Err(error) => return fail_unknown(&job, &error),
@@ -488,8 +488,8 @@
     if head.status.is_success() {
         return Ok((head, body));
     }
-    match call::read_body(body).await {
-        Some(body) => Err((Failure::Answered(Box::new(head), body), Completion::Answered)),
+    match content::read(&job.shared.buffer_limiter, body).await {
+        Some(content) => Err((Failure::Answered(Box::new(head), content), Completion::Answered)),
         None => Err((Failure::Unknown(Reason::ResponseBrokeOff), Completion::Failed)),
     }
 }
--- a/gateway/tests/hold.rs
+++ b/gateway/tests/hold.rs
@@ -71,3 +71,36 @@
     drop((held_chunk, chunk));
     assert_eq!(limiter.used(), 0);
 }
+
+#[test]
+fn an_answer_stays_reserved_as_long_as_it_is_referred_to() {
+    let limiter = Limiter::new(1_000_000);
+    let mut hold = limiter.hold_answer().expect("an open limiter");
+    for _ in 0..30 {
+        hold.push(&[b'x'; 1_000]).expect("memory");
+        assert!(limiter.used() >= hold.len(), "{} bytes are reserved", limiter.used());
+    }
+    let bytes = hold.into_bytes();
+    let piece = bytes.slice(10_000..10_001);
+    assert_eq!((bytes.len(), limiter.used()), (30_000, 30_000));
+    drop(bytes);
+    assert_eq!(limiter.used(), 30_000);
+    drop(piece);
+    assert_eq!(limiter.used(), 0);
+}
+
+/// Guards against answers without end that leave no memory to other requests.
+#[test]
+fn answers_without_end_leave_memory_to_requests_and_to_usual_answers() {
+    let limiter = Limiter::new(4_000_000);
+    let piece = [b'x'; 16_000];
+    let mut endless = Vec::new();
+    for _ in 0..200 {
+        let mut hold = limiter.hold_answer().expect("an open limiter");
+        while hold.push(&piece).is_ok() {}
+        assert!(hold.len() <= 1_000_000, "{} bytes of one answer", hold.len());
+        endless.push(hold);
+    }
+    assert!(limiter.used() <= 3_000_000, "{} bytes are reserved", limiter.used());
+    assert!(limiter.hold_request(900_000).is_some());
+}
