Reserve a request's body of unknown length while it arrives

Callers would see: requests lost at a machine that ran out of memory, as many callers send long bodies in pieces.

Cause: a body without a length reserved 4 KiB, was kept up to the limit of the configuration (4 MiB by default), and its rest was reserved once all of it was there. It now grows as an answer does, and is refused (not run) as soon as there is no memory left for more of it. The reservation goes with the bytes, so that it lasts as long as an attempt sends them.

--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use decision::gateway::config::Kind;
 use http::{Request, Response, StatusCode, header};
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -20,6 +20,7 @@
 
 use crate::body::Answer;
 use crate::journal::{Event, Parts};
+use crate::memory::Hold;
 use crate::port::{Head, Platform};
 use crate::progress::{Key, Progress, Stage};
 use crate::reason::Reason;
@@ -219,10 +220,10 @@
     let reserved_bytes =
         expected_bytes.clamp(MIN_RESERVED_BYTES, limits.body_bytes.max(MIN_RESERVED_BYTES));
     let no_memory = Refusal::retryable("no memory left for the request body", MEMORY_RETRY_DELAY);
-    let Some(reservation) = shared.buffer_limiter.reserve(reserved_bytes) else {
+    let Some(hold) = shared.buffer_limiter.hold_request(reserved_bytes) else {
         return refuse(shared, &head, &no_memory);
     };
-    let body = match read_body(body, limits.body_bytes).await {
+    let body = match read_body(body, limits.body_bytes, hold, no_memory).await {
         Ok(body) if !is_too_large => body,
         Ok(_) => {
             let refusal =
@@ -231,10 +232,6 @@
         }
         Err(refusal) => return refuse(shared, &head, &refusal),
     };
-    let Some(remainder) = shared.buffer_limiter.reserve(body.len().saturating_sub(reserved_bytes))
-    else {
-        return refuse(shared, &head, &no_memory);
-    };
     shared.count_request(&destination.service.name);
     let uri = target_uri(&parts);
     remove_hop_by_hop(&mut parts.headers);
@@ -254,7 +251,6 @@
         uri,
         headers: parts.headers,
         body,
-        _held: [reservation, remainder],
         arrived: arrived_at,
         limit: arrived_at + time_limit,
         deadline: arrived_at + time_limit,
@@ -274,20 +270,42 @@
     }
 }
 
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
-    let body = timeout(BODY_TIMEOUT, Limited::new(body, max_bytes).collect()).await;
-    let Ok(body) = body else {
-        return Err(Refusal::new(
-            StatusCode::REQUEST_TIMEOUT,
-            "request body is not complete in time",
-        ));
-    };
-    body.map(|it| it.to_bytes()).map_err(|error| match error.is::<LengthLimitError>() {
-        true => Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "request body exceeds the limit"),
-        false => Refusal::new(StatusCode::BAD_REQUEST, "request body is incomplete"),
+/// Reads a body of at most `max_bytes` to its end, within its time. The refusal `no_memory` is for
+/// a body that there is no memory left for.
+async fn read_body(
+    body: Incoming,
+    max_bytes: usize,
+    hold: Hold,
+    no_memory: Refusal,
+) -> Result<Bytes, Refusal> {
+    let body = timeout(BODY_TIMEOUT, collect(body, max_bytes, hold, no_memory)).await;
+    body.unwrap_or_else(|_| {
+        let status = StatusCode::REQUEST_TIMEOUT;
+        Err(Refusal::new(status, "request body is not complete in time"))
     })
 }
 
+async fn collect(
+    mut body: Incoming,
+    max_bytes: usize,
+    mut hold: Hold,
+    no_memory: Refusal,
+) -> Result<Bytes, Refusal> {
+    while let Some(frame) = body.frame().await {
+        let frame = frame
+            .map_err(|_| Refusal::new(StatusCode::BAD_REQUEST, "request body is incomplete"))?;
+        let Ok(piece) = frame.into_data() else { continue };
+        if hold.len() + piece.len() > max_bytes {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            return Err(Refusal::new(status, "request body exceeds the limit"));
+        }
+        if hold.push(&piece).is_err() {
+            return Err(no_memory);
+        }
+    }
+    Ok(hold.into_bytes())
+}
+
 fn refuse<P: Platform>(shared: &Shared<P>, head: &Head, refusal: &Refusal) -> Response<Answer> {
     let (config, confirmed_at) = {
         let knowledge = shared.knowledge();
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -16,7 +16,6 @@
 
 use crate::body::Answer;
 use crate::journal::{Event, Parts};
-use crate::memory::Reservation;
 use crate::port::{Envelope, Head, Malformed, Outgoing, Platform};
 use crate::progress::{self, Stage};
 use crate::quarantine;
@@ -87,9 +86,8 @@
     pub(crate) uri: Uri,
     /// Headers from the caller, without those of its connection.
     pub(crate) headers: HeaderMap,
-    /// Body of the request.
+    /// Body of the request, whose memory stays reserved as long as it is referred to.
     pub(crate) body: Bytes,
-    pub(crate) _held: [Reservation; 2],
     /// When the header of the request was read.
     pub(crate) arrived: Time,
     /// When the request times out, by the timeout of the caller or of the route.
--- a/gateway/tests/hold.rs
+++ b/gateway/tests/hold.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gateway::memory::Limiter;
+use gateway::memory::{Full, Limiter};
 use tokio::time::timeout;
 
 const BLOCKED_TIMEOUT: Duration = Duration::from_millis(50);
@@ -104,3 +104,16 @@
     assert!(limiter.used() <= 3_000_000, "{} bytes are reserved", limiter.used());
     assert!(limiter.hold_request(900_000).is_some());
 }
+
+#[test]
+fn a_request_body_of_unknown_length_is_reserved_as_it_grows() {
+    let limiter = Limiter::new(100_000);
+    let mut hold = limiter.hold_request(4_000).expect("memory");
+    assert_eq!(hold.push(&[b'x'; 3_000]), Ok(()));
+    assert_eq!(limiter.used(), 4_000);
+    assert_eq!(hold.push(&[b'x'; 90_000]), Ok(()));
+    assert!(limiter.used() >= 93_000);
+    assert_eq!(hold.push(&[b'x'; 10_000]), Err(Full));
+    assert_eq!(hold.into_bytes().len(), 93_000);
+    assert_eq!(limiter.used(), 0);
+}
