Keep unfinished events of streams within the memory budget

Cause: up to 1 MiB of an event, and as much again in its buffer, was kept for each stream, outside of the budget.

Beyond 8 KiB, an unfinished event is now reserved as an answer is, twice its size for its buffer; without memory, or beyond 1 MiB, its stream goes on elsewhere, as before (`event too long`). Usual events are far below 8 KiB, so a sound stream never depends on the memory that others leave.

With the mechanism off, an_event_without_end_is_given_up_within_its_part_of_the_memory (not given up within 1 MB of a budget of 0.4 MB) and a_long_event_is_reserved_until_it_is_complete (nothing reserved) are red; a_usual_event_passes_while_no_memory_is_left is green with and without it, and guards the other side.

--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -116,7 +116,7 @@
 
 /// Forwards events until the stream is complete, can't be resumed, or the caller disconnects.
 async fn forward<P: Platform>(mut job: Job<P>, mut upstream: Upstream<P>, sender: Sender) {
-    let mut splitter = Splitter::default();
+    let mut splitter = Splitter::new(job.shared.buffer_limiter.clone());
     let mut timer = EventTimer::default();
     loop {
         let target = upstream.slot.target.id.clone();
