Take a stream with trailers as complete

A stream whose last chunk has trailers counted as broken off: its caller, who had all events, got no end, and another target was asked for the rest although attempts and budget are scarce. Trailers come after a body that is complete, so they are dropped as the headers of one connection are.

The case `trailers` was red (200, and not whole) and is green.

--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -273,9 +273,9 @@
             }
             return sender.send(rest).await.map(drop).map_err(|Disconnected| Reason::CallerLeft);
         };
-        let Ok(data) = frame.map_err(|_| ()).and_then(|it| it.into_data().map_err(|_| ())) else {
-            return Err(Reason::StreamBrokeOff);
-        };
+        let frame = frame.map_err(|_| Reason::StreamBrokeOff)?;
+        // Trailers follow a complete body, and concern the target's connection alone.
+        let Ok(data) = frame.into_data() else { continue };
         last_received = shared.now();
         upstream.slot.record_activity();
         let (events, result) = reader.push(&data);
