Play engines that answer otherwise as they take over a stream

Each frame names its attempt and its offset, and an end mark counts the tokens, so that nothing else passes.

No code changes.

--- a/rhubarblatchd/tests/dispatch/main.rs
+++ b/rhubarblatchd/tests/dispatch/main.rs
@@ -7,6 +7,7 @@
 #[path = "../support/settings.rs"]
 mod settings;
 mod support;
+mod takeover;
 
 use std::collections::BTreeMap;
 
