Reset the connection of an HTTP/1.0 caller whose stream breaks

A caller that speaks HTTP/1.0, as many proxies do to what lies behind them, gets a stream without chunks, which ends with its connection.

Such a connection is now reset, which the caller's side reports as an error. It concerns only a response that the entry itself ends as truncated, and only HTTP/1.0: with chunks, the missing last one shows it, and a reset could discard events on their way.

--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -1,13 +1,14 @@
 //! Listener for callers: accepts HTTP/1.1 requests within the limits of the configuration.
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use decision::gateway::config::Kind;
-use http::{Request, Response, StatusCode, header};
+use http::{Request, Response, StatusCode, Version, header};
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
@@ -82,27 +83,37 @@
     // A failure only adds latency to small responses.
     let _result = stream.set_nodelay(true);
     let limits = shared.knowledge().table.limits();
-    let service = {
+    let ends_with_connection = AtomicBool::new(false);
+    let service = service_fn(|request: Request<Incoming>| {
+        ends_with_connection.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
         let shared = shared.clone();
-        service_fn(move |request| {
-            let shared = shared.clone();
-            async move { Ok::<_, Infallible>(respond(&shared, key, request).await) }
-        })
-    };
-    let connection = http1::Builder::new()
+        async move { Ok::<_, Infallible>(respond(&shared, key, request).await) }
+    });
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.head_bytes + HEAD_MARGIN_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    tokio::select! {
-        // The requests on the connection report how it ends.
-        _result = connection.as_mut() => return,
-        _ = stop.wait_for(|it| *it) => connection.as_mut().graceful_shutdown(),
+    let ended = tokio::select! {
+        result = &mut connection => Some(result),
+        _ = stop.wait_for(|it| *it) => None,
+    };
+    let result = match ended {
+        Some(result) => result,
+        None => {
+            // An idle connection ends at once. Others end once the request that has begun to arrive
+            // is answered and the caller has been sent the last byte, or with the process.
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
+        }
+    };
+    // The requests on the connection report how it ends. Without chunks, only a reset shows the
+    // caller that its stream is truncated.
+    let is_truncated = result.is_err_and(|it| it.is_user());
+    if is_truncated && ends_with_connection.load(Ordering::Relaxed) {
+        // A failure means that the connection is closed already.
+        let _result = connection.into_parts().io.inner().set_zero_linger();
     }
-    // An idle connection ends at once. Others end once the request that has begun to arrive is
-    // answered and the caller has been sent the last byte, or with the process.
-    let _result = connection.await;
 }
 
 /// Counts a connection as open until this is dropped.
