Keep the silence limits of a service that a configuration drops

Callers saw: a configuration moves a route and no longer lists its old service, and every stream at work there is cut within some 30 ms (status 200, the body ends early). The replicas are sound and write on.

Cause: `Balancer::retain_services` dropped the service's pool. Its targets stayed while they had work, but `silence_deadline` read a missing pool as "due now": each of them was silent at the next check, was given up, and the stream had no target left to go on at.

Change: a dropped service keeps its pool until this entry's work there ends; its targets are unlisted, so that no request is sent there anew. `silence_deadline` returns `None` for what isn't known, and no silence is then too long.

--- a/decision/src/gateway/balance.rs
+++ b/decision/src/gateway/balance.rs
@@ -190,16 +190,20 @@
         self.pools.insert(service.clone(), pool);
     }
 
-    /// Removes the targets of services other than `services`.
+    /// Unlists the targets of services other than `services`, and forgets each of those services
+    /// once this entry has no work in progress there.
     pub fn retain_services(&mut self, services: &[Arc<str>]) {
-        let removed = self.pools.extract_if(|name, _| !services.contains(name));
-        let keys: Vec<Key> = removed.flat_map(|(_, pool)| pool.keys).collect();
+        let dropped = self.pools.iter_mut().filter(|(name, _)| !services.contains(name));
+        let keys: Vec<Key> = dropped.flat_map(|(_, pool)| std::mem::take(&mut pool.keys)).collect();
         for key in keys {
             if let Some(state) = self.states.get_mut(key) {
                 state.is_listed = false;
             }
             self.remove_if_unused(key);
         }
+        let states = &self.states;
+        let is_in_use = |name: &Arc<str>| states.values().any(|it| it.service == *name);
+        self.pools.retain(|name, _| services.contains(name) || is_in_use(name));
     }
 
     /// Removes a target that has left the list once this entry has no work in progress there.
@@ -289,13 +293,14 @@
         self.remove_if_unused(key);
     }
 
-    /// Returns until when the target may stay silent before it becomes suspect.
+    /// Returns until when the target may stay silent before it becomes suspect; `None` if nothing
+    /// is known of it, so that no silence is too long.
     ///
     /// While it streams, an event comes with each pass. Before its first token, it does the prefill
     /// of all waiting prompts, and the first event takes a whole pass after that.
-    pub fn silence_deadline(&self, now: Time, key: Key) -> Time {
-        let Some(state) = self.states.get(key) else { return now };
-        let Some(pool) = self.pools.get(&state.service) else { return now };
+    pub fn silence_deadline(&self, now: Time, key: Key) -> Option<Time> {
+        let state = self.states.get(key)?;
+        let pool = self.pools.get(&state.service)?;
         let load = state.load(now);
         let passes = if state.is_streaming { 1.0 } else { 2.0 };
         let waiting = f64::from(load.running.saturating_sub(state.target.slots));
@@ -317,7 +322,7 @@
             }
         };
         let last_active_at = state.last_active_at.max(state.peer_active_at);
-        last_active_at + slack + Duration::from_secs_f64((passes_ms + prefill_ms) / 1_000.0)
+        Some(last_active_at + slack + Duration::from_secs_f64((passes_ms + prefill_ms) / 1_000.0))
     }
 
     /// Returns an upper estimate of the prompt tokens that other entries sent to a target within
@@ -335,7 +340,7 @@
 
     /// Marks a target suspect if it has been silent past its deadline. Returns whether it has.
     pub fn check_silence(&mut self, now: Time, key: Key) -> bool {
-        if now < self.silence_deadline(now, key) {
+        if self.silence_deadline(now, key).is_none_or(|it| now < it) {
             return false;
         }
         self.mark_suspect(now, key);
--- a/decision/tests/gateway/balance.rs
+++ b/decision/tests/gateway/balance.rs
@@ -6,6 +6,7 @@
 };
 use decision::gateway::demand::{Demand, Demands};
 use decision::prelude::*;
+use rstest::rstest;
 
 use crate::support::{at, engine, ms, target};
 
@@ -253,6 +254,33 @@
     assert!(balance.target(key).is_none());
 }
 
+/// Guards against a service that leaves the configuration and makes its targets silent at once.
+#[rstest]
+#[case::before_the_first_event(None)]
+#[case::between_events(Some(at(50)))]
+fn work_of_a_dropped_service_keeps_its_silence_limit(#[case] event: Option<Time>) {
+    let play = |is_dropped: bool| {
+        let mut balance = balance(&[target("x", "a", Some("large"))]);
+        let key = send(&mut balance, at(0), &requirements());
+        event.into_iter().for_each(|it| balance.record_activity(it, key));
+        if is_dropped {
+            balance.retain_services(&["other".into()]);
+        }
+        (balance, key)
+    };
+    let (kept, key) = play(false);
+    let deadline = kept.silence_deadline(at(60), key);
+    let (mut dropped, key) = play(true);
+    assert_eq!(dropped.silence_deadline(at(60), key), deadline);
+    assert!(!dropped.check_silence(at(60), key));
+    assert_eq!(dropped.choose(at(60), "models", &requirements()), Choice::NoTarget);
+    assert_eq!(dropped.targets().count(), 0);
+    dropped.finish_attempt(at(70), key, 0, Completion::Answered);
+    dropped.retain_services(&["other".into()]);
+    assert!(dropped.target(key).is_none());
+    assert_eq!(dropped.silence_deadline(at(80), key), None, "nothing is known of it");
+}
+
 #[test]
 fn a_restarted_target_is_another_one() {
     let mut balance = balance(&[target("x", "a", Some("large"))]);
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -297,7 +297,8 @@
     let now = job.shared.now();
     let target_deadline = job.shared.balance().silence_deadline(now, slot.key);
     let stream_deadline = last_received + STREAM_SILENCE_TIMEOUT;
-    let soonest = target_deadline.min(stream_deadline).max(now + MIN_CHECK_INTERVAL);
+    let soonest = target_deadline.map_or(stream_deadline, |it| it.min(stream_deadline));
+    let soonest = soonest.max(now + MIN_CHECK_INTERVAL);
     soonest.min(job.deadline.max(now + MIN_CHECK_INTERVAL))
 }
 
