Keep the work of a target that is listed again

Callers saw: nothing that was observed; found by reading, beside the case of the dropped service. A target that left the list for a moment (an emptied list, a service dropped and configured again) came back as a new one: idle, never suspect and without a history, while its former state went on with the work. Loads counted as zero send it more than its slots.

Cause: the pool forgot the keys of unlisted targets, so that the same start of a target wasn't found again.

They also tell whether a dropped service is still in use.

Red before: `a_target_that_is_listed_again_keeps_the_work_that_it_has`, in both cases.

--- a/decision/src/gateway/balance.rs
+++ b/decision/src/gateway/balance.rs
@@ -89,7 +89,10 @@
     engine: Engine,
     /// Requests per second that a cold target may be sent by all entries together.
     warmup_rate: f64,
+    /// Listed targets.
     keys: Vec<Key>,
+    /// Targets that left the list while this entry had work in progress there.
+    unlisted: Vec<Key>,
     /// Number of targets by model.
     target_counts: HashMap<Arc<str>, usize>,
     /// Observed averages by model.
@@ -156,9 +159,8 @@
         pool.ranks.retain(|name, _| models.iter().any(|it| it.name == *name));
         pool.warmup_rate = warmup_rate;
         let mut previous: HashMap<(Arc<str>, (u64, u64)), Key> = HashMap::new();
-        for key in pool.keys.drain(..) {
-            let Some(state) = self.states.get_mut(key) else { continue };
-            state.is_listed = false;
+        for key in pool.keys.drain(..).chain(pool.unlisted.drain(..)) {
+            let Some(state) = self.states.get(key) else { continue };
             previous.insert((state.target.id.clone(), state.target.incarnation), key);
         }
         pool.target_counts.clear();
@@ -184,26 +186,35 @@
             };
             pool.keys.push(key);
         }
-        for key in previous.into_values() {
-            self.remove_if_unused(key);
-        }
+        pool.unlisted = self.unlist(previous.into_values());
         self.pools.insert(service.clone(), pool);
     }
 
     /// Unlists the targets of services other than `services`, and forgets each of those services
     /// once this entry has no work in progress there.
     pub fn retain_services(&mut self, services: &[Arc<str>]) {
-        let dropped = self.pools.iter_mut().filter(|(name, _)| !services.contains(name));
-        let keys: Vec<Key> = dropped.flat_map(|(_, pool)| std::mem::take(&mut pool.keys)).collect();
+        let dropped = self.pools.extract_if(|name, _| !services.contains(name));
+        let dropped: Vec<(Arc<str>, Pool)> = dropped.collect();
+        for (name, mut pool) in dropped {
+            let keys = pool.keys.drain(..).chain(pool.unlisted.drain(..));
+            pool.unlisted = self.unlist(keys);
+            if !pool.unlisted.is_empty() {
+                self.pools.insert(name, pool);
+            }
+        }
+    }
+
+    /// Removes targets from the list. Returns those where this entry has work in progress.
+    fn unlist(&mut self, keys: impl IntoIterator<Item = Key>) -> Vec<Key> {
+        let mut used = Vec::new();
         for key in keys {
             if let Some(state) = self.states.get_mut(key) {
                 state.is_listed = false;
             }
             self.remove_if_unused(key);
+            used.extend(self.states.contains_key(key).then_some(key));
         }
-        let states = &self.states;
-        let is_in_use = |name: &Arc<str>| states.values().any(|it| it.service == *name);
-        self.pools.retain(|name, _| services.contains(name) || is_in_use(name));
+        used
     }
 
     /// Removes a target that has left the list once this entry has no work in progress there.
--- a/decision/tests/gateway/balance.rs
+++ b/decision/tests/gateway/balance.rs
@@ -281,6 +281,24 @@
     assert_eq!(dropped.silence_deadline(at(80), key), None, "nothing is known of it");
 }
 
+/// Guards against a target that counts as idle, and as never silent, since it was unlisted for a moment.
+#[rstest]
+#[case::emptied_list(|it: &mut Balancer| set_targets(it, at(1), &[], Duration::ZERO))]
+#[case::dropped_service(|it: &mut Balancer| it.retain_services(&[]))]
+fn a_target_that_is_listed_again_keeps_the_work_that_it_has(#[case] unlist: fn(&mut Balancer)) {
+    let targets = [target("x", "a", Some("large"))];
+    let mut balance = balance(&targets);
+    let key = send(&mut balance, at(0), &requirements());
+    balance.mark_suspect(at(1), key);
+    unlist(&mut balance);
+    assert!(!balance.is_listed(key));
+    set_targets(&mut balance, at(2), &targets, Duration::ZERO);
+    assert!(balance.is_listed(key));
+    assert_eq!(balance.suspects().count(), 1);
+    let running: Vec<u32> = balance.targets().map(|(_, load)| load.running).collect();
+    assert_eq!(running, [1]);
+}
+
 #[test]
 fn a_restarted_target_is_another_one() {
     let mut balance = balance(&[target("x", "a", Some("large"))]);
