Judge the silence of work by the configuration that it began under, too

Callers saw: a configuration gives a service's engine a faster cost model, more slots or fewer models, and a stream at work whose events come at the former pace is given up as silent, though it goes on. Without another replica it is cut.

Cause: the limit of silence was computed anew from the engine, slots and baselines in force. A model that the engine no longer has lost its baseline, so that what was learned of it read as zero.

Change: an attempt keeps its terms (engine, slots, time factor, baseline of its model). The limits of silence move to a module of their own.

The tests of the limits ask by the terms in force at that time; what they require is unchanged.

--- a/decision/src/gateway/balance.rs
+++ b/decision/src/gateway/balance.rs
@@ -8,6 +8,7 @@
 mod choose;
 mod observe;
 mod requirements;
+mod silence;
 pub mod speed;
 mod state;
 mod target;
@@ -20,6 +21,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 pub use requirements::{Choice, Completion, Forecast, Requirements};
+pub use silence::Terms;
 pub use target::{Load, Partition, Target};
 
 use crate::gateway::demand::Tracker;
@@ -86,7 +88,7 @@
 /// Targets of one service.
 #[derive(Debug, Default)]
 struct Pool {
-    engine: Engine,
+    engine: Arc<Engine>,
     /// Requests per second that a cold target may be sent by all entries together.
     warmup_rate: f64,
     /// Listed targets.
@@ -153,7 +155,7 @@
     ) {
         self.pauses.retain(|_, until| *until > now);
         let mut pool = self.pools.remove(service).unwrap_or_default();
-        pool.engine = engine.cloned().unwrap_or_default();
+        pool.set_engine(engine.cloned().unwrap_or_default());
         let models = &pool.engine.models;
         pool.baselines.retain(|name, _| models.iter().any(|it| it.name == *name));
         pool.ranks.retain(|name, _| models.iter().any(|it| it.name == *name));
@@ -304,60 +306,6 @@
         self.remove_if_unused(key);
     }
 
-    /// Returns until when the target may stay silent before it becomes suspect; `None` if nothing
-    /// is known of it, so that no silence is too long.
-    ///
-    /// While it streams, an event comes with each pass. Before its first token, it does the prefill
-    /// of all waiting prompts, and the first event takes a whole pass after that.
-    pub fn silence_deadline(&self, now: Time, key: Key) -> Option<Time> {
-        let state = self.states.get(key)?;
-        let pool = self.pools.get(&state.service)?;
-        let load = state.load(now);
-        let passes = if state.is_streaming { 1.0 } else { 2.0 };
-        let waiting = f64::from(load.running.saturating_sub(state.target.slots));
-        let baseline = pool.baseline_of(state.target.model.as_ref());
-        let slot_wait_passes =
-            waiting * baseline.answer_passes() / f64::from(state.target.slots.max(1));
-        let passes_ms =
-            state.pass_ms(now, &pool.engine, &baseline, load.running) * (passes + slot_wait_passes);
-        let time_factor = state.target.time_factor * state.slowness(now);
-        let tokens = u64::from(load.prefill) + self.unreported_tokens(now, pool, &baseline, state);
-        let tokens =
-            if state.is_streaming { tokens.min(pool.engine.pass_tokens()) } else { tokens };
-        let prefill_ms = pool.engine.prefill_ms(time_factor, tokens);
-        let slack = match state.is_streaming {
-            true => self.settings.silence_slack,
-            false => {
-                self.settings.first_token_slack
-                    + Duration::from_secs_f64(baseline.overhead_ms() / 1_000.0)
-            }
-        };
-        let last_active_at = state.last_active_at.max(state.peer_active_at);
-        Some(last_active_at + slack + Duration::from_secs_f64((passes_ms + prefill_ms) / 1_000.0))
-    }
-
-    /// Returns an upper estimate of the prompt tokens that other entries sent to a target within
-    /// the reporting lag. Their prefill stalls the target's streams. The estimate is the mean plus
-    /// twice the standard deviation.
-    fn unreported_tokens(&self, now: Time, pool: &Pool, baseline: &Baseline, state: &State) -> u64 {
-        let Some(model) = &state.target.model else { return 0 };
-        let targets = pool.target_counts.get(model).copied().unwrap_or(1).max(1) as f64;
-        let requests_per_second = self.demand.total_of(now, tag(model)).requests / targets;
-        let arrivals = requests_per_second * self.settings.peer_lag.as_secs_f64();
-        // The standard deviation of prompt lengths is about their mean.
-        let max_arrivals = arrivals + 2.0 * (2.0 * arrivals).sqrt();
-        (max_arrivals * baseline.prompt_tokens()) as u64
-    }
-
-    /// Marks a target suspect if it has been silent past its deadline. Returns whether it has.
-    pub fn check_silence(&mut self, now: Time, key: Key) -> bool {
-        if self.silence_deadline(now, key).is_none_or(|it| now < it) {
-            return false;
-        }
-        self.mark_suspect(now, key);
-        true
-    }
-
     /// Marks a target suspect and schedules the first trial request, unless it is suspect already.
     pub fn mark_suspect(&mut self, now: Time, key: Key) {
         let delay = self.settings.trial_delay;
@@ -414,6 +362,13 @@
 }
 
 impl Pool {
+    /// Replaces the engine if it differs.
+    fn set_engine(&mut self, engine: Engine) {
+        if *self.engine != engine {
+            self.engine = Arc::new(engine);
+        }
+    }
+
     /// Records the rank of a request. Returns the baseline of its model, and how many more urgent
     /// ranks were recently requested for that model.
     fn record_rank(
--- a/decision/src/gateway/engine.rs
+++ b/decision/src/gateway/engine.rs
@@ -7,7 +7,7 @@
 use crate::prelude::*;
 
 /// Capacity and speed of a service's engine. Times apply to a replica whose time factor is 1.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Engine {
     /// Requests that one replica runs concurrently.
     pub slots: u32,
@@ -34,7 +34,7 @@
 }
 
 /// A model that instances can form replicas of.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Model {
     /// Name of the model.
     pub name: Arc<str>,
--- a/decision/tests/gateway/balance.rs
+++ b/decision/tests/gateway/balance.rs
@@ -5,6 +5,7 @@
     Balancer, Choice, Completion, Key, Load, Partition, Requirements, Settings, Target, hash, tag,
 };
 use decision::gateway::demand::{Demand, Demands};
+use decision::gateway::engine::Engine;
 use decision::prelude::*;
 use rstest::rstest;
 
@@ -44,6 +45,13 @@
     balance.target(key).map(|it| it.id.clone()).unwrap_or_default()
 }
 
+/// Checks the silence of a target on the terms that hold at present.
+fn is_silent(balance: &mut Balancer, now: Time, key: Key) -> bool {
+    let terms = balance.terms(key);
+    assert!(terms.is_some(), "no target at work");
+    terms.is_some_and(|it| balance.check_silence(now, key, &it))
+}
+
 #[test]
 fn a_request_goes_only_to_its_model() {
     let mut balance = balance(&[target("l", "a", Some("large")), target("s", "a", Some("small"))]);
@@ -143,8 +151,8 @@
     let key = send(&mut balance, at(0), &requirements());
     balance.finish_prefill(key, 1_000);
     balance.record_activity(at(100), key);
-    assert!(!balance.check_silence(at(150), key));
-    assert!(balance.check_silence(at(600), key));
+    assert!(!is_silent(&mut balance, at(150), key));
+    assert!(is_silent(&mut balance, at(600), key));
     assert_eq!(balance.suspects().count(), 1);
     assert!(matches!(balance.choose(at(700), "models", &requirements()), Choice::Busy(_)));
     send(&mut balance, at(1_200), &requirements());
@@ -163,8 +171,8 @@
     let key = send(&mut balance, at(0), &requirements());
     let active = Load { running: 1, quiet_ms: 20, ..Load::default() };
     balance.set_peer_loads(at(400), 1, Partition::default(), &HashMap::from([(tag("x"), active)]));
-    assert!(!balance.check_silence(at(500), key));
-    assert!(balance.check_silence(at(2_000), key));
+    assert!(!is_silent(&mut balance, at(500), key));
+    assert!(is_silent(&mut balance, at(2_000), key));
 }
 
 #[test]
@@ -178,7 +186,7 @@
         let key = send(&mut balance, at(0), &requirements());
         balance.finish_prefill(key, 1_000);
         balance.record_activity(at(100), key);
-        balance.check_silence(at(300), key)
+        is_silent(&mut balance, at(300), key)
     };
     assert!(is_suspect(0.0));
     assert!(!is_suspect(20.0));
@@ -189,22 +197,29 @@
     balance.set_peer_demand(at(0), 1, Demands::from([(tag("large"), max_demand)]));
     let key = send(&mut balance, at(0), &requirements());
     balance.record_activity(at(100), key);
-    assert!(balance.check_silence(at(700), key));
+    assert!(is_silent(&mut balance, at(700), key));
 }
 
-#[test]
-fn silence_within_the_learned_overhead_does_not_make_a_target_suspect() {
-    let mut balance = balance(&[target("x", "a", Some("large"))]);
+/// Returns a balancer that knows that first tokens take 400 ms more than the load explains.
+fn learned() -> (Balancer, [Target; 1]) {
+    let targets = [target("x", "a", Some("large"))];
+    let mut balance = balance(&targets);
     for _ in 0..3 {
-        let choice = balance.choose(at(0), "models", &requirements());
-        let Choice::Send(key, forecast) = choice else { panic!("{choice:?}") };
-        balance.finish_prefill(key, 1_000);
-        balance.record_first_token(key, &forecast, ms(400));
-        balance.finish_attempt(at(0), key, 0, Completion::Answered);
+        if let Choice::Send(key, forecast) = balance.choose(at(0), "models", &requirements()) {
+            balance.finish_prefill(key, 1_000);
+            balance.record_first_token(key, &forecast, ms(400));
+            balance.finish_attempt(at(0), key, 0, Completion::Answered);
+        }
     }
+    (balance, targets)
+}
+
+#[test]
+fn silence_within_the_learned_overhead_does_not_make_a_target_suspect() {
+    let (mut balance, _) = learned();
     let key = send(&mut balance, at(1_000), &requirements());
-    assert!(!balance.check_silence(at(1_400), key));
-    assert!(balance.check_silence(at(2_000), key));
+    assert!(!is_silent(&mut balance, at(1_400), key));
+    assert!(is_silent(&mut balance, at(2_000), key));
 }
 
 #[test]
@@ -269,16 +284,39 @@
         (balance, key)
     };
     let (kept, key) = play(false);
-    let deadline = kept.silence_deadline(at(60), key);
+    let terms = kept.terms(key).expect("a target at work");
+    let deadline = kept.silence_deadline(at(60), key, &terms);
     let (mut dropped, key) = play(true);
-    assert_eq!(dropped.silence_deadline(at(60), key), deadline);
-    assert!(!dropped.check_silence(at(60), key));
+    assert_eq!(dropped.silence_deadline(at(60), key, &terms), deadline);
+    assert!(!is_silent(&mut dropped, at(60), key));
     assert_eq!(dropped.choose(at(60), "models", &requirements()), Choice::NoTarget);
     assert_eq!(dropped.targets().count(), 0);
     dropped.finish_attempt(at(70), key, 0, Completion::Answered);
     dropped.retain_services(&["other".into()]);
     assert!(dropped.target(key).is_none());
-    assert_eq!(dropped.silence_deadline(at(80), key), None, "nothing is known of it");
+    assert_eq!(dropped.silence_deadline(at(80), key, &terms), None, "nothing is known of it");
+}
+
+/// Guards against a faster engine, or fewer models, in a later configuration that cut what runs by the former one.
+#[rstest]
+#[case::faster(|it: &mut Engine| it.step_ms = 0.01)]
+#[case::more_slots(|it: &mut Engine| it.slots = 100)]
+#[case::without_its_model(|it: &mut Engine| it.models.clear())]
+#[case::without_cost(|it: &mut Engine| *it = Engine::default())]
+fn a_later_engine_does_not_shorten_the_silence_of_work(#[case] change: fn(&mut Engine)) {
+    let (mut balance, targets) = learned();
+    let requirements = Requirements { is_resumed: true, ..requirements() };
+    let keys = [0; 9].map(|_| send(&mut balance, at(1_000), &requirements));
+    let key = keys[0];
+    let terms = balance.terms(key).expect("a target at work");
+    let deadline = balance.silence_deadline(at(1_000), key, &terms);
+    let mut engine = engine();
+    change(&mut engine);
+    let targets = targets.map(|it| (Target { slots: engine.slots * 4 / 26, ..it }, Duration::ZERO));
+    balance.set_targets(at(1_001), &service(), Some(&engine), 10.0, targets);
+    assert!(balance.silence_deadline(at(1_001), key, &terms) >= deadline);
+    let later = balance.terms(key).expect("a target at work");
+    assert!(balance.silence_deadline(at(1_001), key, &later) < deadline, "nothing was shortened");
 }
 
 /// Guards against a target that counts as idle, and as never silent, since it was unlisted for a moment.
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -244,10 +244,11 @@
         match balance.choose(now, &self.service.name, requirements) {
             Choice::Send(key, forecast) => {
                 let target = balance.target(key).cloned().ok_or(Denial::NoTarget)?;
+                let terms = balance.terms(key).ok_or(Denial::NoTarget)?;
                 drop(balance);
                 Ok(Slot::new(
                     self.shared.clone(),
-                    (key, target),
+                    (key, target, terms),
                     forecast,
                     requirements.prompt_tokens,
                 ))
--- a/gateway/src/slot.rs
+++ b/gateway/src/slot.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use decision::gateway::balance::{Completion, Forecast, Key, Target};
+use decision::gateway::balance::{Completion, Forecast, Key, Target, Terms};
 use decision::prelude::*;
 
 use crate::state::Shared;
@@ -15,6 +15,8 @@
     pub(crate) key: Key,
     /// The target as it was listed when it was chosen.
     pub(crate) target: Target,
+    /// What the target was known to need when it was chosen.
+    pub(crate) terms: Terms,
     /// Forecast at the time when the target was chosen.
     pub(crate) forecast: Forecast,
     /// Prompt tokens that the target is still expected to process; 0 after the first event.
@@ -35,7 +37,7 @@
     /// `prompt_tokens`.
     pub(crate) fn new(
         shared: Arc<Shared<P>>,
-        (key, target): (Key, Target),
+        (key, target, terms): (Key, Target, Terms),
         forecast: Forecast,
         prompt_tokens: u64,
     ) -> Slot<P> {
@@ -44,6 +46,7 @@
             shared,
             key,
             target,
+            terms,
             forecast,
             prompt_tokens,
             started_at,
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -295,7 +295,7 @@
 /// Returns when to check next whether a target is silent.
 fn next_check<P: Platform>(job: &Job<P>, slot: &Slot<P>, last_received: Time) -> Time {
     let now = job.shared.now();
-    let target_deadline = job.shared.balance().silence_deadline(now, slot.key);
+    let target_deadline = job.shared.balance().silence_deadline(now, slot.key, &slot.terms);
     let stream_deadline = last_received + STREAM_SILENCE_TIMEOUT;
     let soonest = target_deadline.map_or(stream_deadline, |it| it.min(stream_deadline));
     let soonest = soonest.max(now + MIN_CHECK_INTERVAL);
@@ -322,7 +322,7 @@
 /// for too long. If the target has been, reports it as suspect and closes its idle connections.
 fn check_silence<P: Platform>(job: &Job<P>, slot: &Slot<P>, last_received: Time) -> bool {
     let now = job.shared.now();
-    let is_silent = job.shared.balance().check_silence(now, slot.key);
+    let is_silent = job.shared.balance().check_silence(now, slot.key, &slot.terms);
     if is_silent {
         let silent_ms = crate::request::millis(now.since(last_received));
         job.shared.journal.note(&Event::Suspect { target: &slot.target.id, silent_ms });
--- a/gateway/src/wait.rs
+++ b/gateway/src/wait.rs
@@ -131,7 +131,7 @@
     });
     let with_targets = dispatched.into_iter().map(|(waiting, outcome)| {
         let target = match &outcome {
-            Outcome::Placed(key, _) => balancer.target(*key).cloned(),
+            Outcome::Placed(key, _) => balancer.target(*key).cloned().zip(balancer.terms(*key)),
             Outcome::NoTarget => None,
         };
         (waiting, outcome, target)
@@ -140,9 +140,9 @@
     drop((backlog, balancer));
     for (waiting, outcome, target) in with_targets {
         let admission = match (outcome, target) {
-            (Outcome::Placed(key, forecast), Some(target)) => Ok(Slot::new(
+            (Outcome::Placed(key, forecast), Some((target, terms))) => Ok(Slot::new(
                 shared.clone(),
-                (key, target),
+                (key, target, terms),
                 forecast,
                 waiting.requirements.prompt_tokens,
             )),
