Heed what peers hear from a target that has left the list

Callers saw: nothing that was observed; found by reading, beside the case of the dropped service. A request that waits at a target that leaves (a drain, an emptied list, a dropped service) could be given up as silent although the target sends events to other entries: reports of peers were heeded for listed targets only. After 2 s, when their last reports lapsed, the prompts of the peers counted as zero as well, which shortened the limit.

Red before: `activity_seen_by_a_peer_counts_for_work_at_an_unlisted_target`, first case; the second one holds both ways.

--- a/decision/src/gateway/balance.rs
+++ b/decision/src/gateway/balance.rs
@@ -13,7 +13,7 @@
 mod state;
 mod target;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use rand_pcg::Pcg64Mcg;
@@ -189,6 +189,7 @@
             pool.keys.push(key);
         }
         pool.unlisted = self.unlist(previous.into_values());
+        self.record_successors(&pool);
         self.pools.insert(service.clone(), pool);
     }
 
@@ -219,6 +220,17 @@
         used
     }
 
+    /// Records which unlisted targets have a successor in the list.
+    fn record_successors(&mut self, pool: &Pool) {
+        let listed = pool.keys.iter().filter_map(|it| self.states.get(*it));
+        let listed: HashSet<u32> = listed.map(|it| it.tag).collect();
+        for key in &pool.unlisted {
+            if let Some(state) = self.states.get_mut(*key) {
+                state.has_successor = listed.contains(&state.tag);
+            }
+        }
+    }
+
     /// Removes a target that has left the list once this entry has no work in progress there.
     fn remove_if_unused(&mut self, key: Key) {
         let is_unused =
@@ -325,7 +337,8 @@
     }
 
     /// Sets the loads of the peer with the hash `from` on the targets of `partition`, by tag. On
-    /// targets without a load in `loads`, the peer has none.
+    /// targets without a load in `loads`, the peer has none. They also tell of a target that has
+    /// left the list, unless another start of it is listed.
     pub fn set_peer_loads(
         &mut self,
         now: Time,
@@ -334,7 +347,8 @@
         loads: &HashMap<u32, Load>,
     ) {
         let states = self.states.values_mut();
-        for state in states.filter(|it| it.is_listed && partition.contains(it.tag)) {
+        let is_meant = |it: &State| it.is_listed || !it.has_successor;
+        for state in states.filter(|it| is_meant(it) && partition.contains(it.tag)) {
             match loads.get(&state.tag) {
                 Some(load) => {
                     let silence = Duration::from_millis(u64::from(load.quiet_ms));
--- a/decision/src/gateway/balance/state.rs
+++ b/decision/src/gateway/balance/state.rs
@@ -34,6 +34,8 @@
     pub(super) service: Arc<str>,
     /// False once the target has left the list. It is kept until this entry's work there ends.
     pub(super) is_listed: bool,
+    /// Whether another start or replica of the instance is listed in place of this one.
+    pub(super) has_successor: bool,
     /// End of the warm-up, during which the rate of requests is limited.
     pub(super) cold_until: Time,
     /// Until when the target asked not to be sent requests.
@@ -111,6 +113,7 @@
             target,
             service,
             is_listed: true,
+            has_successor: false,
             cold_until,
             paused_until: None,
             own_load: Load::default(),
--- a/decision/tests/gateway/balance.rs
+++ b/decision/tests/gateway/balance.rs
@@ -319,6 +319,22 @@
     assert!(balance.silence_deadline(at(1_001), key, &later) < deadline, "nothing was shortened");
 }
 
+/// Guards against work at a target that leaves, cut since nobody heeds what peers hear from it.
+#[rstest]
+#[case::alone(&[], false)]
+#[case::beside_its_next_start(&[Target { incarnation: (2, 1), ..target("x", "a", Some("large")) }], true)]
+fn activity_seen_by_a_peer_counts_for_work_at_an_unlisted_target(
+    #[case] listed: &[Target],
+    #[case] silent: bool,
+) {
+    let mut balance = balance(&[target("x", "a", Some("large"))]);
+    let key = send(&mut balance, at(0), &requirements());
+    set_targets(&mut balance, at(10), listed, Duration::ZERO);
+    let active = Load { running: 1, quiet_ms: 20, ..Load::default() };
+    balance.set_peer_loads(at(400), 1, Partition::default(), &HashMap::from([(tag("x"), active)]));
+    assert_eq!(is_silent(&mut balance, at(500), key), silent);
+}
+
 /// Guards against a target that counts as idle, and as never silent, since it was unlisted for a moment.
 #[rstest]
 #[case::emptied_list(|it: &mut Balancer| set_targets(it, at(1), &[], Duration::ZERO))]
