Keep a dropped service for the requests that go to it

Callers saw: a configuration drops a service, and a request that is still being read or that waits for a slot there is refused with 503 ("no target"); a stream whose replica breaks then is cut, though other replicas of the service work on.

Cause: a request holds its route and its service, but the targets of the service were looked up by its name among the configured ones. A service that isn't there any more read as one without targets.

Change: a dropped service stays known as it was configured, with its targets, for as long as a request holds it (`gateway/src/dropped.rs`, weak references). The targets leave with the next maintenance after the last one. New requests never get there: routes are resolved by the configuration in force only.

--- a/gateway/src/apply.rs
+++ b/gateway/src/apply.rs
@@ -154,7 +154,12 @@
     if config.version == known {
         return;
     }
-    knowledge.table = Arc::new(Table::new(&config));
+    let table = Arc::new(Table::new(&config));
+    let former = std::mem::replace(&mut knowledge.table, table.clone());
+    knowledge.dropped.forget_unused();
+    knowledge.dropped.record(&former, &table);
+    // From here on, only requests keep the services that were dropped.
+    drop(former);
     drop(knowledge);
     shared.journal.note(&Event::Configured {
         version: config.version,
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -307,13 +307,13 @@
     }
 }
 
-/// Periodically ends holds whose time is over, drops expired instances and connections to unknown ones, and logs changed numbers
+/// Periodically ends holds whose time is over, drops expired targets and connections to unknown ones, and logs changed numbers
 /// of replicas.
 async fn maintain<P: Platform>(shared: Arc<Shared<P>>) {
     let mut reported = Counts::new();
     loop {
         sleep(MAINTENANCE_INTERVAL).await;
-        shared.expire_instances();
+        shared.expire_targets();
         apply::expire_holds(&shared);
         shared.report_replica_counts(&mut reported);
         let addresses: std::collections::HashSet<SocketAddr> =
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod clock;
 mod content;
 pub mod daemon;
+mod dropped;
 pub mod error;
 mod event;
 mod follow;
--- a/gateway/src/owner.rs
+++ b/gateway/src/owner.rs
@@ -309,7 +309,7 @@
     fn plan(&mut self, now: Time) {
         let Some(fence) = self.fence else { return };
         self.probe_suspects(now);
-        self.shared.expire_instances();
+        self.shared.expire_targets();
         let (table, instances) = {
             let knowledge = self.shared.knowledge();
             let instances: Vec<(Arc<Instance>, Presence)> =
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::clock::Clock;
+use crate::dropped::Dropped;
 use crate::journal::{Event, Journal};
 use crate::memory::Limiter;
 use crate::metrics::Metrics;
@@ -91,6 +92,8 @@
 pub(crate) struct Knowledge {
     /// Configuration in force.
     pub(crate) table: Arc<Table>,
+    /// Services that it no longer lists.
+    pub(crate) dropped: Dropped,
     /// Era of the store in which the configuration in force was last seen there.
     pub(crate) config_era: Era,
     /// When the last request was sent whose response confirmed the configuration.
@@ -315,7 +318,8 @@
         balance.set_peer_lag(exchange.lag(knowledge.entries.len(), domains.len()));
         let bounds = &self.settings().bounds;
         let mut names = Vec::new();
-        for service in knowledge.table.services() {
+        let dropped = knowledge.dropped.in_use(&knowledge.table);
+        for service in knowledge.table.services().chain(&dropped) {
             names.push(service.name.clone());
             let rate = service.warmup_rate * bounds.warmup_excess + bounds.warmup_slack;
             let targets = targets(now, &knowledge.fleet, service);
@@ -329,9 +333,13 @@
         self.fleet_changed.notify_waiters();
     }
 
-    /// Drops the instances that did not register again in time after an outage of the store.
-    pub(crate) fn expire_instances(&self) {
-        let has_expired = self.knowledge().fleet.expire_missing(self.now());
+    /// Drops the instances that did not register again in time after an outage of the store, and
+    /// the services that are no longer configured once no request goes to them.
+    pub(crate) fn expire_targets(&self) {
+        let has_expired = {
+            let mut knowledge = self.knowledge();
+            knowledge.dropped.forget_unused() | knowledge.fleet.expire_missing(self.now())
+        };
         if has_expired {
             self.refresh_targets();
         }
