Bound the heads that the daemon reads from targets and the store

Both read 16 KiB at once now; a longer head is a lost answer, as one that breaks off. Peers' client and the listeners had bounds already.

a_head_without_end_is_given_up_at_its_limit (targets) was red before: the call waits for ever, not given up within 5 s. The same bound of the store's client has no test of its own: its calls end by their time limit with the same error.

--- a/store/src/exchange.rs
+++ b/store/src/exchange.rs
@@ -12,6 +12,9 @@
 
 use crate::error::Cause;
 
+/// Largest head of an answer, in bytes, and the most that a connection reads at once.
+const MAX_HEAD_BYTES: usize = 16_384;
+
 /// A pooled HTTP client that never sends a request twice.
 pub type Connection = Client<HttpConnector, Full<Bytes>>;
 
@@ -47,7 +50,10 @@
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(timeout));
     connector.set_nodelay(true);
-    Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector)
+    Client::builder(TokioExecutor::new())
+        .http1_max_buf_size(MAX_HEAD_BYTES)
+        .retry_canceled_requests(false)
+        .build(connector)
 }
 
 /// Sends `request` once and reads the whole answer.
--- a/targets/src/connection.rs
+++ b/targets/src/connection.rs
@@ -16,6 +16,9 @@
 
 use crate::{Error, Settings};
 
+/// The least that the HTTP library reads at once, in bytes.
+const MIN_HEAD_BYTES: usize = 8_192;
+
 /// Says whether a request may still be sent, asked when its bytes are about to leave.
 pub trait Gate: Send + Unpin + 'static {
     /// Whether the request may be sent now.
@@ -64,6 +67,7 @@
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new())
             .retry_canceled_requests(false)
+            .http1_max_buf_size(settings.head_bytes.max(MIN_HEAD_BYTES))
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(settings.idle_timeout)
             .pool_max_idle_per_host(settings.idle_connections)
--- a/targets/src/settings.rs
+++ b/targets/src/settings.rs
@@ -11,6 +11,9 @@
     pub idle_timeout: Duration,
     /// Idle connections kept for each target.
     pub idle_connections: usize,
+    /// Largest head of an answer, in bytes, and the most that a connection reads at once. At least
+    /// 8,192.
+    pub head_bytes: usize,
     /// Longest line of a stream, in bytes.
     pub line_bytes: usize,
     /// Largest body of a plain answer, in bytes.
@@ -25,6 +28,7 @@
             connect_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(30),
             idle_connections: 64,
+            head_bytes: 16_384,
             line_bytes: 65_536,
             body_bytes: 1_048_576,
             error_bytes: 16_384,
--- a/targets/tests/call.rs
+++ b/targets/tests/call.rs
@@ -22,6 +22,9 @@
 const LONG: &str = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nmore than";
 const CUT: &str = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\ncut";
 
+/// Time after which a call counts as one that never ends.
+const PATIENCE: Duration = Duration::from_secs(5);
+
 /// Answers the requests of each connection with `answers` in turn, then closes the connection
 /// when the next request has come. Counts the requests.
 async fn listen(
@@ -147,3 +150,13 @@
     assert_eq!(error.progress(), Progress::Unsent);
     assert_eq!(seen.load(Ordering::SeqCst), 0);
 }
+
+/// Guards against heads without end, which are kept until they are complete.
+#[tokio::test]
+async fn a_head_without_end_is_given_up_at_its_limit() {
+    let head: &str = format!("HTTP/1.1 200 OK\r\nx: {}", "x".repeat(20_000)).leak();
+    let (address, _) = listen(Box::leak(Box::new([head]))).await.unwrap();
+    let called = tokio::time::timeout(PATIENCE, client().call(address, call(), Open)).await;
+    let error = called.expect("the head is given up").unwrap_err();
+    assert!(matches!(error, Error::Lost { .. }), "{error}");
+}
