Bound the history for peers in bytes, and keep no replaced object

What callers saw: with a configuration of 1 MB, each change of it added 1.8 MB to each process. After some 140 changes all processes exceeded their memory and were killed together; requests that had been passed on were cut.

Cause: for peers that lag behind, the mirror kept the last 256 changes of each kind with their whole decoded objects: a bound by number, not by bytes, and a change was kept although a later one replaced it.

Change: each stored object already has the revision of its last change, so what was created or replaced since a peer's revision is read from the objects themselves. Only removals have to be remembered. They are kept for all kinds together, up to a 64th of the bytes for buffers (1 MB of 256 MB of memory), and are charged to the same limiter as bodies. The oldest make room; a peer that is behind what is kept gets the whole list, as it does after this entry listed the kind anew (counter rhubarblatch_peer_relists_total). A removal for which no memory is left is not lost: all peers list the kind then. Removals of objects that this entry never knew are kept too, as a peer may have known them. Messages between entries stay as they are.

By reading only: a kind without changes since its list no longer sends its list to each peer whenever the store's revision moves on.

Tests: replaced_configurations_are_not_kept_for_peers failed before (199 of 199 configurations were kept, 1 is). The two tests of the bound use what is new; they are red if the bound is taken out, if forgetting a removal doesn't move the oldest revision, or if a removal without memory is only dropped. the_mirror_equals_the_store_at_its_revision now plays its 400 seeds a second time with room for a single removal, and is red in the second of these cases too.

--- a/gateway/src/apply.rs
+++ b/gateway/src/apply.rs
@@ -213,7 +213,8 @@
     shared.metrics.add("rhubarblatch_held_objects_total", &labels, objects as u64);
 }
 
-fn label(kind: Kind) -> &'static str {
+/// Returns the name of a kind in metrics.
+pub(crate) fn label(kind: Kind) -> &'static str {
     match kind {
         Kind::Config => "config",
         Kind::Evacuations => "evacuations",
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,7 +7,7 @@
 //! | modules | purpose |
 //! | --- | --- |
 //! | `intake`, `routing`, `request`, `retry`, `slot`, `call`, `content`, `stream`, `event`, `reason`, `refusal` | handling of callers' requests |
-//! | `follow`, `relay`, [`mirror`], `apply` | objects of the store, read from it or from a peer |
+//! | `follow`, `relay`, [`mirror`], `history`, `apply` | objects of the store, read from it or from a peer |
 //! | `inform` | what peers know better than a store that was restored |
 //! | `owner`, `order` | orders to instances, given by one entry at a time |
 //! | `peers` | state that entries exchange |
@@ -26,6 +26,7 @@
 pub mod error;
 mod event;
 mod follow;
+mod history;
 mod inform;
 mod intake;
 mod journal;
--- a/gateway/src/memory.rs
+++ b/gateway/src/memory.rs
@@ -41,6 +41,9 @@
     Answer,
 }
 
+/// Memory of an entry whose settings don't state it.
+const DEFAULT_MEMORY_BYTES: usize = 256_000_000;
+
 /// Limiter of the buffered bytes of all requests and answers of an entry.
 #[derive(Clone, Debug)]
 pub struct Limiter {
@@ -86,6 +89,12 @@
     _reservation: Option<Reservation>,
 }
 
+impl Default for Limiter {
+    fn default() -> Limiter {
+        Limiter::of_memory(DEFAULT_MEMORY_BYTES)
+    }
+}
+
 impl Limiter {
     /// Returns the limiter for an entry with `bytes` of memory, a quarter of which is for buffers.
     pub fn of_memory(bytes: usize) -> Limiter {
@@ -98,6 +107,11 @@
         Limiter { available: Arc::new(Semaphore::new(max_bytes)), max_bytes }
     }
 
+    /// Returns the number of bytes that can be reserved in total.
+    pub fn max_bytes(&self) -> usize {
+        self.max_bytes
+    }
+
     /// Returns the number of bytes that are reserved.
     pub fn used(&self) -> usize {
         self.max_bytes.saturating_sub(self.available.available_permits())
--- a/gateway/src/mirror.rs
+++ b/gateway/src/mirror.rs
@@ -8,7 +8,7 @@
 //! in an older state than the known one is held (see [`decision::gateway::hold`]): peers read the
 //! stored objects here, and this entry acts on the objects in force.
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use decision::gateway::era::{Era, Observation, Tracker, Version};
@@ -16,16 +16,16 @@
 use decision::prelude::*;
 use serde::{Deserialize, Serialize};
 
+use crate::history::History;
+use crate::memory::Limiter;
 use crate::port::{Changes, Item, Kind, Object};
 
-/// Most changes of one kind that are kept for peers that lag behind.
-const MAX_HISTORY_CHANGES: usize = 256;
-
 /// The objects of all kinds as far as this entry knows them.
 #[derive(Debug, Default)]
 pub struct Mirror {
     eras: Tracker,
     kinds: HashMap<Kind, Objects>,
+    history: History,
 }
 
 /// The objects of one kind.
@@ -41,8 +41,8 @@
     needs_list: bool,
     /// When the objects were last known to be up to date; `None` before the first list.
     confirmed_at: Option<Time>,
-    /// The latest changes, oldest first, each with the revision that it follows on.
-    history: VecDeque<(u64, Changes)>,
+    /// Revision of the last change that is known.
+    changed_at: u64,
 }
 
 /// What one entry sends another about one kind of objects.
@@ -50,7 +50,7 @@
 pub struct Update {
     /// The kind of the objects.
     pub kind: Kind,
-    /// All objects, if the receiver has none or its revision is older than the kept changes.
+    /// All objects, if the receiver has none or its revision is older than the kept removals.
     pub list: Option<Vec<Item>>,
     /// The changes since the receiver's revision. With a list, only its revision.
     pub changes: Changes,
@@ -115,6 +115,11 @@
 }
 
 impl Mirror {
+    /// Returns a mirror without objects, whose history is charged to `limiter`.
+    pub fn new(limiter: Limiter) -> Mirror {
+        Mirror { history: History::new(limiter), ..Mirror::default() }
+    }
+
     /// Returns the known era of the store.
     pub fn era(&self) -> Era {
         self.eras.known()
@@ -171,7 +176,8 @@
                 objects.apply(version.era, confirmed_at, &stored_changes)
             }
         };
-        objects.history.clear();
+        objects.changed_at = items.iter().map(|it| it.revision).max().unwrap_or_default();
+        self.history.restart(kind, version.revision);
         objects.needs_list = false;
         objects.confirmed_at = objects.confirmed_at.max(Some(confirmed_at));
         Ok(new_changes)
@@ -204,11 +210,13 @@
         let stored_changes = objects.new_changes(changes);
         let since = objects.version.revision;
         let new_changes = objects.apply(era, confirmed_at, &stored_changes);
-        if !changes.is_empty() && since < changes.revision {
-            objects.history.push_back((since, changes.clone()));
+        if !changes.is_empty() {
+            objects.changed_at = objects.changed_at.max(changes.revision);
         }
-        if objects.history.len() > MAX_HISTORY_CHANGES {
-            objects.history.pop_front();
+        if since < changes.revision {
+            // A peer may know an object that was created and removed after `since`.
+            let gone = changes.gone.iter().filter(|it| !objects.items.contains_key(*it));
+            gone.for_each(|it| self.history.record(kind, it, changes.revision));
         }
         Ok(new_changes)
     }
@@ -293,8 +301,9 @@
         if since.era != objects.version.era {
             return since < objects.version;
         }
-        let last = objects.history.back().map_or(0, |(_, it)| it.revision);
-        since.revision < last || since.revision < objects.oldest_revision()
+        // A later page of a list may show changes after the known version.
+        let changed_at = objects.changed_at.min(objects.version.revision);
+        since.revision < changed_at || since.revision < self.history.complete_since(kind)
     }
 
     /// Returns what a peer with the version `since` lacks of `kind`; `None` if this entry has no
@@ -302,15 +311,18 @@
     pub fn update_since(&self, kind: Kind, since: Option<Version>) -> Option<Update> {
         let objects = self.listed(kind)?;
         let Version { era, revision } = objects.version;
-        let since = since.filter(|it| it.era == era && it.revision >= objects.oldest_revision());
+        let complete_since = self.history.complete_since(kind);
+        let since = since.filter(|it| it.era == era && it.revision >= complete_since);
         let Some(Version { revision: since, .. }) = since else {
             let list = objects.items.values().cloned().collect();
             let changes = Changes { revision, ..Changes::default() };
             return Some(Update { kind, list: Some(list), changes });
         };
-        let mut changes = Changes { revision: revision.max(since), ..Changes::default() };
-        let later = objects.history.iter().filter(|(_, it)| it.revision > since);
-        later.for_each(|(_, it)| changes.merge(it));
+        let put = objects.items.values().filter(|it| it.revision > since).cloned().collect();
+        let removed = self.history.removed(kind, since);
+        let gone: BTreeSet<_> = removed.filter(|it| !objects.items.contains_key(*it)).collect();
+        let gone = gone.into_iter().cloned().collect();
+        let changes = Changes { put, gone, revision: revision.max(since) };
         Some(Update { kind, list: None, changes })
     }
 
@@ -417,11 +429,6 @@
         self.version = Version { era, revision: stored_changes.revision };
         in_force
     }
-
-    /// Returns the oldest revision after which all changes are kept.
-    fn oldest_revision(&self) -> u64 {
-        self.history.front().map_or(self.version.revision, |(before, _)| *before)
-    }
 }
 
 /// Returns changes of the objects in force as changes at `revision`.
@@ -441,15 +448,4 @@
     pub fn is_empty(&self) -> bool {
         self.put.is_empty() && self.gone.is_empty()
     }
-
-    /// Merges `later` changes into these.
-    fn merge(&mut self, later: &Changes) {
-        let is_replaced = |name: &Arc<str>| {
-            later.gone.contains(name) || later.put.iter().any(|it| it.name == *name)
-        };
-        self.put.retain(|it| !is_replaced(&it.name));
-        self.gone.retain(|it| !is_replaced(it));
-        self.put.extend(later.put.iter().cloned());
-        self.gone.extend(later.gone.iter().cloned());
-    }
 }
--- a/gateway/src/relay/serve.rs
+++ b/gateway/src/relay/serve.rs
@@ -19,6 +19,7 @@
     AGE_HEADER, ERA_HEADER, HELD_HEADER, HELD_PATH, POLL_INTERVAL, QUERY_PATH, Query, Reply,
     millis, pack, stated_era,
 };
+use crate::apply::label;
 use crate::journal::Event;
 use crate::port::{Kind, Platform};
 use crate::state::Shared;
@@ -148,9 +149,18 @@
     let now = shared.now();
     let mirror = shared.mirror();
     let confirmed_at = mirror.confirmed_at(Kind::Config)?;
-    let updates = query.since(era).filter_map(|(kind, since)| mirror.update_since(kind, since));
+    let mut updates = Vec::new();
+    for (kind, since) in query.since(era) {
+        let Some(update) = mirror.update_since(kind, since) else { continue };
+        if since.is_some() && update.list.is_some() {
+            // The peer lags behind what is kept.
+            let labels = format!("kind=\"{}\"", label(kind));
+            shared.metrics.count("rhubarblatch_peer_relists_total", &labels);
+        }
+        updates.push(update);
+    }
     Some(Reply {
-        updates: updates.collect(),
+        updates,
         age_ms: millis(now.since(confirmed_at)),
         held_ms: millis(now.since(received_at)),
     })
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -137,6 +137,7 @@
             ..pool::Settings::default()
         };
         let buffer_limiter = Limiter::of_memory(settings.memory_bytes());
+        let mirror = Mirror::new(buffer_limiter.clone());
         let retries = Retries::new(settings.first_start);
         let mut quarantine = Quarantine::default();
         quarantine.set_settings(settings.quarantine.settings());
@@ -164,7 +165,7 @@
             is_era_stated: AtomicBool::new(false),
             is_informed: AtomicBool::new(false),
             packer: Packer::default(),
-            mirror: Mutex::default(),
+            mirror: Mutex::new(mirror),
             knowledge: Mutex::default(),
             balance: Mutex::new(Balancer::new(balance)),
             quarantine: Mutex::new(quarantine),
--- a/gateway/tests/mirror.rs
+++ b/gateway/tests/mirror.rs
@@ -1,10 +1,12 @@
 //! The mirror of the store, with lists and changes that arrive late, twice and in any order.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 
+use decision::gateway::config::{Config, Workspace};
 use decision::gateway::era::{Era, Version};
 use decision::prelude::*;
+use gateway::memory::Limiter;
 use gateway::mirror::{Mirror, Update};
 use gateway::port::{Changes, Item, Kind, Object};
 use rand_pcg::Pcg64Mcg;
@@ -207,11 +209,18 @@
 /// list and watch a store and read from each other, and the responses arrive late and in any order.
 #[test]
 fn the_mirror_equals_the_store_at_its_revision() {
+    // The second size has room for one removal.
+    for bytes in [64_000_000, 8_000] {
+        compare_mirrors_with_store(bytes);
+    }
+}
+
+fn compare_mirrors_with_store(bytes: usize) {
     for seed in 0..400 {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let mut store = Store { events: Vec::new() };
         (0..5).for_each(|_| store.write(&mut rng));
-        let mut mirrors = [Mirror::default(), Mirror::default()];
+        let mut mirrors = [0, 1].map(|_| Mirror::new(Limiter::new(bytes)));
         mirrors.iter_mut().for_each(|it| apply(it, &store.list()));
         let mut responses: Vec<(usize, Update)> = Vec::new();
         for step in 0..300 {
@@ -243,3 +252,67 @@
         }
     }
 }
+
+/// Guards against a memory that fills with configurations that later ones have replaced.
+#[test]
+fn replaced_configurations_are_not_kept_for_peers() {
+    let mut mirror = Mirror::default();
+    drop(mirror.apply_list(Kind::Config, version(1), at(1), &[], Time::ZERO));
+    let mut configurations: Vec<Weak<str>> = Vec::new();
+    for revision in 2..=200 {
+        let name: Arc<str> = format!("w{revision}").into();
+        configurations.push(Arc::downgrade(&name));
+        let workspace = Workspace { name, keys: Vec::new(), priority: None };
+        let config = Config { workspaces: vec![workspace], ..Config::default() };
+        let object = Object::Config(Box::new(config));
+        let changes = changes(revision, &[Item { name: "main".into(), revision, object }], &[]);
+        drop(mirror.apply_changes(Kind::Config, Era::default(), at(revision), &changes));
+    }
+    let kept = configurations.iter().filter(|it| it.upgrade().is_some()).count();
+    assert_eq!(kept, 1);
+    let update = mirror.update_since(Kind::Config, Some(version(7)));
+    let update = update.expect("the kind was listed");
+    assert!(update.list.is_none(), "a peer that lags behind gets the last change only");
+    assert_eq!(update.changes.put.len(), 1);
+}
+
+/// Guards against removals that fill the memory, and against peers that miss those forgotten.
+#[test]
+fn removals_of_all_kinds_are_kept_up_to_a_bound_in_bytes() {
+    let limiter = Limiter::new(640_000);
+    let mut mirror = Mirror::new(limiter.clone());
+    let kinds = [Kind::Evacuations, Kind::Quarantines];
+    let names: Vec<String> = (0..500).map(|it| format!("object-{it}")).collect();
+    let items: Vec<Item> = names.iter().map(|it| item(it, 1)).collect();
+    for kind in kinds {
+        drop(mirror.apply_list(kind, version(1), at(1), &items, Time::ZERO));
+    }
+    for (revision, name) in (2..).zip(&names) {
+        for kind in kinds {
+            let changes = changes(revision, &[], &[name]);
+            drop(mirror.apply_changes(kind, Era::default(), at(revision), &changes));
+        }
+        assert!(limiter.used() <= 10_000, "{} bytes are kept", limiter.used());
+    }
+    for kind in kinds {
+        assert!(mirror.has_update(kind, Some(version(2))));
+        let listed = mirror.update_since(kind, Some(version(2))).and_then(|it| it.list);
+        assert_eq!(listed.map(|it| it.len()), Some(0));
+        let recent = mirror.update_since(kind, Some(version(500))).expect("the kind was listed");
+        assert!(recent.list.is_none());
+        assert_eq!(recent.changes.gone, [Arc::from("object-499")]);
+    }
+}
+
+/// Guards against a peer that is told nothing of a removal for which no memory was left.
+#[test]
+fn a_removal_without_memory_makes_peers_list_the_kind() {
+    let limiter = Limiter::new(640_000);
+    let mut mirror = Mirror::new(limiter.clone());
+    list(&mut mirror, 9, &[item("a", 8), item("b", 7)]);
+    let _buffered = limiter.reserve(640_000).expect("nothing is reserved");
+    change(&mut mirror, &changes(10, &[], &["a"]));
+    assert!(mirror.has_update(KIND, Some(version(9))));
+    let listed = mirror.update_since(KIND, Some(version(9))).and_then(|it| it.list);
+    assert_eq!(listed.map(|it| it.len()), Some(1));
+}
