Log the time to the first bytes of an answer that is passed on

Its `ended` line, its histogram and the count of late requests took the time to its last byte, which its caller decides.

--- a/gateway/src/content.rs
+++ b/gateway/src/content.rs
@@ -103,6 +103,8 @@
     shared.journal.note(&Event::PassedOn { request, target, kept_bytes, after_ms });
     let (sender, answer) = Answer::stream(shared.buffer_limiter.read_ahead(MAX_READ_AHEAD_BYTES));
     let target = target.to_owned();
+    let first_event = Some(shared.now().since(job.arrived));
+    let times = Times { first_event, ..Times::default() };
     tokio::spawn(async move {
         let mut job = job;
         let result = tokio::select! {
@@ -110,7 +112,8 @@
             () = sender.closed() => Err(Reason::CallerLeft),
             result = send(&job, part, &sender) => result,
         };
-        finish(&mut job, slot, &target, status, result);
+        let outcome = finish(&mut job, slot, result);
+        job.record_end(&target, status, outcome, times);
         if result.is_err() {
             sender.fail().await;
         }
@@ -152,14 +155,12 @@
     Ok(job.shared.now().since(begun))
 }
 
-/// Releases the slot of a body that was passed on, and logs how that ended.
+/// Releases the slot of a body that was passed on. Returns the outcome to log.
 fn finish<P: Platform>(
     job: &mut Job<P>,
     slot: Option<Box<Slot<P>>>,
-    target: &str,
-    status: StatusCode,
     result: Result<(), Reason>,
-) {
+) -> &'static str {
     let (completion, outcome) = match result {
         Ok(()) => (Completion::Answered, "answered"),
         Err(Reason::CallerLeft) => (Completion::Cancelled, "left"),
@@ -173,5 +174,5 @@
         }
         slot.finish(completion);
     }
-    job.record_end(target, status, outcome, Times::default());
+    outcome
 }
