--- a/rhubarblatchd/tests/processes/main.rs
+++ b/rhubarblatchd/tests/processes/main.rs
@@ -5,6 +5,7 @@
 mod forget;
 mod instance;
 mod large;
+mod late;
 mod leaving;
 
 use std::time::Duration;
