--- a/rhubarblatchd/src/daemon.rs
+++ b/rhubarblatchd/src/daemon.rs
@@ -25,6 +25,9 @@
 /// Bytes of the largest answer that is read from the store.
 const STORE_ANSWER_BYTES: usize = 16 << 20;
 
+/// Longest wait for callers to be told that their requests end with the entry.
+const ANSWERS_PATIENCE: Duration = Duration::from_secs(1);
+
 /// Longest wait for the ends of claimed requests to be on record.
 const CLAIMS_PATIENCE: Duration = Duration::from_secs(5);
 
@@ -186,6 +189,10 @@
         let patience = Duration::from_millis(node.settings.timing.stop_ms);
         if time::timeout(patience, self.callers.join()).await.is_err() {
             log::warn!("requests were still in progress after {patience:?}");
+            node.closing.cancel();
+            if time::timeout(ANSWERS_PATIENCE, self.callers.join()).await.is_err() {
+                log::warn!("answers were still not with their callers after {ANSWERS_PATIENCE:?}");
+            }
         }
         if time::timeout(CLAIMS_PATIENCE, self.claims.close()).await.is_err() {
             log::warn!("ends of requests were still not on record after {CLAIMS_PATIENCE:?}");
--- a/rhubarblatchd/src/dispatch.rs
+++ b/rhubarblatchd/src/dispatch.rs
@@ -30,6 +30,7 @@
 use crate::hop::Hop;
 use crate::node::Node;
 use crate::pass::Pass;
+use crate::refusals;
 use crate::relay::Origin;
 use crate::streams::Run;
 use crate::telemetry;
@@ -129,6 +130,7 @@
                 return tell(&events, refusal).await;
             }
         };
+        let told = events.clone();
         let run = Run {
             node: self.node.clone(),
             engines: self.engines.clone(),
@@ -139,7 +141,16 @@
             events,
             hop,
         };
-        let outcome = run.stream(held, route, take(&mut origin.delivered)).await;
+        let outcome = tokio::select! {
+            biased;
+            outcome = run.stream(held, route, take(&mut origin.delivered)) => outcome,
+            () = self.node.closing.cancelled() => {
+                let refusal = refusals::of_end();
+                let outcome = refusal.outcome;
+                tell(&told, refusal).await;
+                outcome
+            }
+        };
         self.end(claimant.as_mut(), outcome, None).await;
     }
 
@@ -175,7 +186,11 @@
         let claim = claimant.as_ref().map(Claimant::permit).or(origin.claim);
         let (node, plain) = (&self.node, &self.plain);
         let run = calls::Run { node, plain, call: &call, claim, deadline, hop: &hop };
-        let result = run.send(held, route).await;
+        let result = tokio::select! {
+            biased;
+            result = run.send(held, route) => result,
+            () = self.node.closing.cancelled() => Err(refusals::of_end()),
+        };
         match &result {
             Ok(answer) => self.end(claimant.as_mut(), Outcome::Ran, Some(answer)).await,
             Err(refusal) => {
--- a/rhubarblatchd/src/dispatch/admission.rs
+++ b/rhubarblatchd/src/dispatch/admission.rs
@@ -59,6 +59,9 @@
                 admitted.map_err(|it| refusals::of_router(&it))
             }
             () = left => Err(Refusal::not_run(Kind::Broken, "the caller has left")),
+            () = self.node.closing.cancelled() => {
+                Err(refusals::of_entry(Kind::Leaving, "this entry is leaving"))
+            }
         };
         drop(queue);
         match admitted {
--- a/rhubarblatchd/src/node.rs
+++ b/rhubarblatchd/src/node.rs
@@ -40,6 +40,8 @@
     pub membership: Arc<Membership>,
     /// Ends when the entry begins to stop: it takes no new work.
     pub leaving: CancellationToken,
+    /// Ends when the entry waits no longer for what is in progress, which is then answered.
+    pub closing: CancellationToken,
     /// Ends when the entry has ended its work: its loops stop.
     pub stopped: CancellationToken,
 }
@@ -70,6 +72,7 @@
                 follower,
                 membership,
                 leaving: CancellationToken::new(),
+                closing: CancellationToken::new(),
                 stopped: CancellationToken::new(),
             }
         })
--- a/rhubarblatchd/src/refusals.rs
+++ b/rhubarblatchd/src/refusals.rs
@@ -77,6 +77,12 @@
     Refusal::not_run(kind, message).with_retry_after(OTHER_ENTRY_RETRY)
 }
 
+/// The end of a request that outlasts its entry. A target may have run it.
+pub(crate) fn of_end() -> Refusal {
+    Refusal::not_run(Kind::Lost, "the entry ended before the request did")
+        .with_outcome(Outcome::Unknown)
+}
+
 /// The end of a stream that is not whole.
 pub(crate) fn of_stream(failure: Failure, outcome: Outcome) -> Refusal {
     let kind = match failure {
--- a/rhubarblatchd/tests/processes/fleet.rs
+++ b/rhubarblatchd/tests/processes/fleet.rs
@@ -92,6 +92,11 @@
 
     /// Starts an entry.
     pub(crate) fn start_entry(&mut self, number: usize) -> Result<()> {
+        self.start_impatient_entry(number, 30_000)
+    }
+
+    /// Starts an entry that waits `stop_ms` for what is in progress when it is told to stop.
+    pub(crate) fn start_impatient_entry(&mut self, number: usize, stop_ms: u64) -> Result<()> {
         let settings = json!({
             "name": format!("entry-{number}"),
             "failure_domain": "riga-a",
@@ -105,7 +110,7 @@
                 "operators": { "env": "RHUBARBLATCH_OPERATOR_TOKEN" },
                 "peers": { "env": "RHUBARBLATCH_PEER_TOKEN" },
             },
-            "timing": { "stop_ms": 30_000 },
+            "timing": { "stop_ms": stop_ms },
         });
         let file = self.folder.join(format!("entry-{number}.json"));
         std::fs::write(&file, settings.to_string())?;
