Take as many header lines as fit into the limit of a head

Callers saw: a request with 101 header lines gets 431, though it has 1,055 bytes and `max_header_bytes` is 16,384.

Cause: the HTTP library's own limit of 100 header lines.

Change: callers' connections take a line for each four bytes of the limit (the shortest line there is), and at most 4,096; more of them still get 431. The library makes room for all lines it may take whenever it reads a head, 262 KB with a limit of 16,384 bytes; what that costs was not measured.

--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -49,6 +49,13 @@
 /// large gets a response.
 const HEAD_MARGIN_BYTES: usize = 8_192;
 
+/// Smallest number of bytes of a header line: a name of one, a colon and the end of the line.
+const MIN_HEADER_LINE_BYTES: usize = 4;
+
+/// Most header lines of a head, whatever its limit of bytes allows: the library makes room for all
+/// of them, 64 bytes each, whenever it reads a head.
+const MAX_HEADER_LINES: usize = 4_096;
+
 /// Accepts callers' connections until `stop` becomes true. Open connections are then shut down
 /// gracefully by their own tasks.
 pub(crate) async fn serve<P: Platform>(
@@ -93,6 +100,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.head_bytes + HEAD_MARGIN_BYTES)
+        .max_headers(max_header_lines(limits.head_bytes))
         .serve_connection(TokioIo::new(stream), service);
     let ended = tokio::select! {
         result = &mut connection => Some(result),
@@ -116,6 +124,11 @@
     }
 }
 
+/// Returns how many header lines a head of at most `head_bytes` bytes may have.
+fn max_header_lines(head_bytes: usize) -> usize {
+    (head_bytes / MIN_HEADER_LINE_BYTES).min(MAX_HEADER_LINES)
+}
+
 /// Counts a connection as open until this is dropped.
 struct ConnectionGuard<P> {
     shared: Arc<Shared<P>>,
