Give up a silent replica only if there is another one

Callers saw: a resumable stream whose only replica pauses for 1.2 s is cut ("no target left"), though the replica goes on. A service whose other replicas were suspect, resting or dropped from the list did the same.

Cause: a silent target was given up whenever attempts and retry budget were left, before it was known whether another target could take over. Finding none then ended the request.

Change: `Balancer::has_alternative` tells whether another target of the model may be sent requests now; else the request stays where it is and is checked again after a second, as one without attempts is, and never later than its deadline. Before the response, a silent target is now reported as suspect also if the request stays there.

--- a/decision/src/gateway/balance/choose.rs
+++ b/decision/src/gateway/balance/choose.rs
@@ -87,6 +87,23 @@
         }
     }
 
+    /// Returns whether a request to `service` that is at the target `key` could go on at another one
+    /// now.
+    pub fn has_alternative(
+        &self,
+        now: Time,
+        service: &str,
+        requirements: &Requirements,
+        key: Key,
+    ) -> bool {
+        let Some(pool) = self.pools.get(service) else { return false };
+        let others = pool.keys.iter().filter(|it| **it != key);
+        let others = others.filter(|it| !requirements.excluded.contains(it));
+        let is_usable =
+            |it: &State| it.serves(requirements) && it.may_try(now) && !it.is_paused(now);
+        others.filter_map(|it| self.states.get(*it)).any(is_usable)
+    }
+
     /// Returns the requests of all entries that arrive within the reporting lag, for `targets`
     /// targets.
     fn contention(&self, now: Time, requirements: &Requirements, targets: usize) -> Contention {
--- a/decision/src/gateway/balance/state.rs
+++ b/decision/src/gateway/balance/state.rs
@@ -139,6 +139,11 @@
         self.suspicion.is_none_or(|it| it.trial_at <= now)
     }
 
+    /// Returns whether the target asked not to be sent requests now.
+    pub(super) fn is_paused(&self, now: Time) -> bool {
+        self.paused_until.is_some_and(|it| it > now)
+    }
+
     /// Returns the load of all entries. Its `quiet_ms` and `slowness` are this entry's.
     pub(super) fn load(&self, now: Time) -> Load {
         let mut total = self.own_load;
--- a/decision/tests/gateway/balance.rs
+++ b/decision/tests/gateway/balance.rs
@@ -369,3 +369,22 @@
     let requirements = Requirements { excluded: vec![key], ..requirements() };
     assert_eq!(balance.choose(at(0), "models", &requirements), Choice::NoTarget);
 }
+
+#[test]
+fn only_another_target_that_takes_requests_is_an_alternative() {
+    let targets = ["x", "y"].map(|it| target(it, "a", Some("large")));
+    let mut balance = balance(&targets);
+    let has_alternative = |balance: &Balancer, requirements: &Requirements, key: Key| {
+        balance.has_alternative(at(1), "models", requirements, key)
+    };
+    let keys = [0; 2].map(|_| send(&mut balance, at(0), &requirements()));
+    assert!(has_alternative(&balance, &requirements(), keys[0]));
+    let excluded = Requirements { excluded: vec![keys[1]], ..requirements() };
+    assert!(!has_alternative(&balance, &excluded, keys[0]));
+    let other = Requirements { model: Some("small".into()), ..requirements() };
+    assert!(!has_alternative(&balance, &other, keys[0]));
+    balance.mark_suspect(at(0), keys[1]);
+    assert!(!has_alternative(&balance, &requirements(), keys[0]));
+    set_targets(&mut balance, at(1), &targets[..1], Duration::ZERO);
+    assert!(!has_alternative(&balance, &requirements(), keys[0]));
+}
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -128,13 +128,20 @@
         (self.attempted.len() as u32) < attempts && self.send_count < attempts + EXTRA_SENDS
     }
 
-    /// Returns whether an idempotent request may be sent to one more target if its current target
-    /// fails. The current target counts as attempted.
-    pub(crate) fn may_fail_over(&self) -> bool {
+    /// Returns whether an idempotent request may be sent to one more target if its current target,
+    /// `key`, is silent, and there is one. The current target counts as attempted.
+    pub(crate) fn may_fail_over(&self, key: Key) -> bool {
         let attempts = self.route.max_attempts.max(1);
         (self.attempted.len() as u32) + 1 < attempts
             && self.send_count < attempts + EXTRA_SENDS
             && self.shared.retry_verdict(&self.service.name).granted
+            && self.has_alternative(key)
+    }
+
+    fn has_alternative(&self, key: Key) -> bool {
+        let now = self.shared.now();
+        let requirements = self.requirements(now, true);
+        self.shared.balance().has_alternative(now, &self.service.name, &requirements, key)
     }
 
     /// Chooses a target and reserves a slot there. If all targets are busy, waits in the backlog
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -257,12 +257,12 @@
                 {
                     continue;
                 }
-                if job.may_fail_over() {
+                if job.may_fail_over(upstream.slot.key) {
                     job.permit = job.request_permit();
                     return Err(Reason::Silent);
                 }
                 // No other target may take over, but this one may still go on: check again later.
-                earliest_check = now + STREAM_SILENCE_TIMEOUT;
+                earliest_check = next_doubt(job);
                 continue;
             }
         };
@@ -302,6 +302,11 @@
     soonest.min(job.deadline.max(now + MIN_CHECK_INTERVAL))
 }
 
+/// Returns when to check again a target that is silent while no other one may take over.
+fn next_doubt<P: Platform>(job: &Job<P>) -> Time {
+    (job.shared.now() + STREAM_SILENCE_TIMEOUT).min(job.deadline)
+}
+
 /// Shortest interval between two checks of a target.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -403,11 +408,12 @@
                         earliest_check = until;
                         continue;
                     }
-                    if job.route.is_idempotent() && job.may_fail_over()
-                        && check_silence_before_response(job, &slot)
-                    {
-                        permit = job.request_permit();
-                        break Err((Failure::Silent, Completion::Failed));
+                    if job.route.is_idempotent() && check_silence_before_response(job, &slot) {
+                        if job.may_fail_over(slot.key) {
+                            permit = job.request_permit();
+                            break Err((Failure::Silent, Completion::Failed));
+                        }
+                        earliest_check = next_doubt(job);
                     }
                 }
             }
