Refuse by an old configuration while the store's can't be read

What callers saw: while an entry could not read the configuration although the store answered, requests on public routes ran by the old one without a bound. Only requests with a key had one.

Cause: routing::resolve bounds the age of the configuration for keys and for paths without a route, not for public routes.

Change: if the store's last answer about the configuration could not be taken and the known one was confirmed config_ms ago or longer, every request is refused with 503 and a delay. There may be another configuration by then, and it must be in force.

A store that is away is told from that: calls without an answer, 429 and 503 leave the configuration in use for public routes, as before. To refuse then would deny what can be served, and gain nothing: who can't reach the store is not held to config_ms. A peer that has a newer configuration ends both, as its word confirms or replaces the known one. The state ends with the first answer that is taken, or the first call without an answer.

--- a/gateway/src/apply.rs
+++ b/gateway/src/apply.rs
@@ -2,6 +2,7 @@
 //! from the store or from a peer.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use decision::gateway::era::{Era, Version};
 use decision::gateway::fleet::Change;
@@ -82,6 +83,7 @@
     let mut knowledge = shared.knowledge();
     copy_confirmation(&mut knowledge, mirror, kind, shared.now());
     if kind == Kind::Config {
+        shared.is_config_untaken.store(false, Ordering::Relaxed);
         // All kinds are read from the same source, and this one is confirmed most often.
         shared.retries.record_confirmation(mirror.confirmed_at(kind));
     }
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -348,6 +348,10 @@
         }
         let outcome = error.outcome();
         outcome.into_iter().for_each(|it| self.reading.record(it));
+        if self.kind == Kind::Config {
+            let is_untaken = outcome == Some(Outcome::Untaken);
+            self.shared.is_config_untaken.store(is_untaken, Ordering::Relaxed);
+        }
         if outcome == Some(Outcome::Untaken) {
             return self.handle_untaken(role, error).await;
         }
--- a/gateway/src/routing.rs
+++ b/gateway/src/routing.rs
@@ -33,7 +33,8 @@
 ///
 /// Refuses a request whose path has no route or whose key is unknown. Also refuses, with a delay
 /// for a retry, a request that the configuration can't decide: there is none yet, the route has no
-/// service, or it is too old to refuse a path or to accept a key.
+/// service, or it is too old to refuse a path or to accept a key, or too old for any request while
+/// the store has another one that can't be read.
 pub(crate) fn resolve<P: Platform>(
     shared: &Shared<P>,
     head: &Head,
@@ -56,6 +57,10 @@
             false => Refusal::retryable("routes are not known for sure", retry_after),
         });
     };
+    let is_untaken = shared.is_config_untaken.load(Ordering::Relaxed);
+    if is_untaken && age >= bounds.max_config_age_for_routes() {
+        return Err(Refusal::retryable("routes are not known for sure", retry_after));
+    }
     let principal = table.principal(route, head.key.as_deref());
     if !matches!(principal, Principal::Anonymous) && age >= bounds.max_config_age_for_keys() {
         return Err(Refusal::retryable("keys are not known for sure", retry_after));
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -256,6 +256,12 @@
         Duration::from_millis(self.config_ms.max(self.revoke_ms))
     }
 
+    /// Returns the age of the configuration from which on no request is sent by it, if the store
+    /// answers but the configuration can't be read. While the store is away, it stays in use.
+    pub fn max_config_age_for_routes(&self) -> Duration {
+        Duration::from_millis(self.config_ms)
+    }
+
     /// Returns the time for which a watch of the configuration at the store waits. Together with
     /// the largest age of a peer's copy ([`Bounds::max_relay_age`]) and the time of a request to
     /// that peer, a change arrives within `config_ms` whichever part fails.
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -66,6 +66,8 @@
     pub(crate) has_seen_request: AtomicBool,
     /// Whether the store answered the last request for the configuration.
     pub(crate) store_up: AtomicBool,
+    /// Whether the store's last answer about the configuration could not be taken.
+    pub(crate) is_config_untaken: AtomicBool,
     /// State received from peers.
     pub(crate) peers: Peers,
     /// The planned stop of the process.
@@ -158,6 +160,7 @@
             retries,
             has_seen_request: AtomicBool::new(false),
             store_up: AtomicBool::new(false),
+            is_config_untaken: AtomicBool::new(false),
             peers: Peers::default(),
             stop: Stop::default(),
             mirror_changed: Notify::new(),
