Ask any peer once the own copy of the configuration is too old

What callers saw: an entry that could not read the store kept its old configuration, although its peers had the new one.

Cause: an entry asks only peers that rank before it, so the first one of its failure domain (of the cluster, with hubs) asks nobody, however old its copy is.

Change: an entry whose configuration was confirmed 0.75 x config_ms ago or longer asks the first peer that reaches the store, whatever their ranks: of its failure domain, else of the cluster. It tries the store itself at the same time, as before. No two entries wait for each other: a peer counts as one that reaches the store only while its own copy is younger than that.

--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -193,19 +193,20 @@
     }
 
     /// Returns the first peer of a failure domain by rank that reaches the store, unless `own`
-    /// ranks before it. Peers that were excluded or are leaving are skipped.
+    /// ranks before it; without `own`, whatever its rank. Peers that were excluded or are leaving
+    /// are skipped.
     pub(crate) fn domain_reader(
         &self,
         now: Time,
         failure_domain: &str,
-        own: Rank<'_>,
+        own: Option<Rank<'_>>,
     ) -> Option<String> {
         self.state().reader(now, own, |it| it.failure_domain == failure_domain)
     }
 
     /// Returns the first peer of all failure domains by rank that reaches the store, unless `own`
     /// ranks before it. Peers that were excluded or are leaving are skipped.
-    pub(crate) fn cluster_reader(&self, now: Time, own: Rank<'_>) -> Option<String> {
+    pub(crate) fn cluster_reader(&self, now: Time, own: Option<Rank<'_>>) -> Option<String> {
         self.state().reader(now, own, |_| true)
     }
 
@@ -242,7 +243,7 @@
     fn reader(
         &self,
         now: Time,
-        own: Rank<'_>,
+        own: Option<Rank<'_>>,
         is_eligible: impl Fn(&Peer) -> bool,
     ) -> Option<String> {
         let readers = self.alive(now).filter(|it| {
@@ -250,7 +251,8 @@
                 self.excluded_readers.get(&it.status.name).is_some_and(|until| now < *until);
             it.status.has_store && !it.status.is_leaving && !is_excluded && is_eligible(it)
         });
-        let first = readers.map(|it| it.status.rank()).min().filter(|it| *it < own);
+        let first =
+            readers.map(|it| it.status.rank()).min().filter(|it| own.is_none_or(|own| *it < own));
         first.map(|it| it.name().to_owned())
     }
 
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -178,14 +178,17 @@
 
 /// Returns the name and address of the peer that reads the store for this failure domain, or else
 /// for the cluster, and the time for which it may hold a query. Returns `None` if this entry is to
-/// read the store itself; in a cluster without hubs, also until all kinds were listed once.
+/// read the store itself; in a cluster without hubs, also until all kinds were listed once. If its
+/// own copy is too old, it reads the store and asks any peer that reaches it.
 fn find_reader<P: Platform>(shared: &Shared<P>) -> Option<(String, SocketAddr, Duration)> {
     let settings = shared.settings();
-    let (now, rank) = (shared.now(), shared.rank(&settings));
+    let now = shared.now();
+    // An entry whose own copy is too old asks any peer that reaches the store.
+    let rank = (!is_outdated(shared)).then(|| shared.rank(&settings));
     let domain_reader = shared.peers.domain_reader(now, &settings.failure_domain, rank);
     let (reader, hold) = match domain_reader {
         Some(reader) => (reader, settings.bounds.relay_timeout()),
-        None if shared.has_hubs() => {
+        None if shared.has_hubs() || rank.is_none() => {
             (shared.peers.cluster_reader(now, rank)?, settings.bounds.cluster_relay_timeout())
         }
         None => return None,
@@ -201,6 +204,14 @@
     Some((reader, address, hold))
 }
 
+/// Returns whether this entry's configuration was last confirmed so long ago that it has to look
+/// for another source.
+fn is_outdated<P>(shared: &Shared<P>) -> bool {
+    let max_age = shared.settings().bounds.max_followed_age();
+    let confirmed_at = shared.mirror().confirmed_at(Kind::Config);
+    confirmed_at.is_some_and(|it| shared.now().since(it) >= max_age)
+}
+
 /// Returns whether this entry started so recently that it waits for a reader instead of reading the
 /// store: the list of entries isn't known yet, or this entry isn't among the first two of its
 /// failure domain in a cluster with hubs.
