Pause before a registration that meets conflicts is written again

What callers saw: nothing so far; a store that answers 409 to every write of an entry's registration got writes without a pause, at its price.

Cause: after a 409 the entry writes on the condition that the object exists, at once. A 409 to that write led to the same write again, with no pause and no bound.

Change: only a conflict of the first condition leads to the second write at once. Any other answer leads to the pause, and the first condition again.

--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -261,7 +261,7 @@
         let put = shared.platform.put(store, &write);
         match follow::write_store(shared, put, STORE_TIMEOUT).await {
             Ok(reply) if reply.status.is_success() => return,
-            Ok(reply) if reply.status == StatusCode::CONFLICT => {
+            Ok(reply) if is_taken(&reply.status, condition) => {
                 condition = Condition::Exists;
                 continue;
             }
@@ -276,6 +276,11 @@
     }
 }
 
+/// Returns whether a write failed as the object exists, so that it has to be replaced.
+fn is_taken(status: &StatusCode, condition: Condition) -> bool {
+    *status == StatusCode::CONFLICT && condition == Condition::Absent
+}
+
 /// Logs why this entry can't register itself, after the first failed attempt.
 fn report_registration<P>(shared: &Shared<P>, failures: u32, error: &follow::Error) {
     if failures > 0 {
