--- a/decision/tests/gateway/main.rs
+++ b/decision/tests/gateway/main.rs
@@ -21,9 +21,7 @@
 mod owners;
 mod precondition;
 mod quarantine;
-#[cfg(test)]
 mod reading;
-#[cfg(test)]
 mod registration;
 mod route;
 mod simulation;
--- a/gateway/src/content.rs
+++ b/gateway/src/content.rs
@@ -30,7 +30,7 @@
     /// The complete body.
     Whole(Bytes),
     /// The beginning of a body that is larger than may be kept.
-    Part(Part),
+    Part(Box<Part>),
 }
 
 /// The beginning of a body, and its source.
@@ -53,7 +53,7 @@
         let Ok(next) = frame.ok()?.into_data() else { continue };
         if hold.push(&next).is_err() {
             let part = Part { kept: hold.into_bytes(), next, rest: body, length };
-            return Some(Content::Part(part));
+            return Some(Content::Part(Box::new(part)));
         }
     }
     Some(Content::Whole(hold.into_bytes()))
@@ -79,7 +79,7 @@
             if let Some(length) = part.length {
                 head.headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
             }
-            pass_on(job, slot, target, head.status, part)
+            pass_on(job, slot, target, head.status, *part)
         }
     };
     let mut response = Response::new(answer);
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -54,7 +54,7 @@
 
 /// Most header lines of a head, whatever its limit of bytes allows: the library makes room for all
 /// of them, 64 bytes each, whenever it reads a head.
-const MAX_HEADER_LINES: usize = 4_096;
+const MAX_HEADER_LINES: usize = 1_024;
 
 /// Accepts callers' connections until `stop` becomes true. Open connections are then shut down
 /// gracefully by their own tasks.
