Leave the idle connections of a target to requests that may use them

Seen by reading, while connections were given resets: a request on a connection of its own (what may run once) took an idle connection of the pool first and dropped it. Each such request cost its target's next caller a new connection (1 ms here, and priced).

a_request_on_a_new_connection_leaves_the_idle_one fails before (the first connection is not used again), passes now.

--- a/gateway/src/pool.rs
+++ b/gateway/src/pool.rs
@@ -140,9 +140,8 @@
         connection: Connection,
     ) -> Result<Response<Reply>, Call> {
         let mut request = request;
-        while let Some(sender) =
-            self.shared.check_out(address).filter(|_| connection == Connection::Reused)
-        {
+        let may_reuse = connection == Connection::Reused;
+        while let Some(sender) = may_reuse.then(|| self.shared.check_out(address)).flatten() {
             match self.exchange(address, sender, request).await {
                 Err((Call::Unsent, Some(unsent))) => request = unsent,
                 Err((error, _)) => return Err(error),
--- a/gateway/tests/pool.rs
+++ b/gateway/tests/pool.rs
@@ -9,7 +9,7 @@
 use gateway::error::Call;
 use gateway::pool::{Connection, Pool, Settings};
 use http::Request;
-use http_body_util::Full;
+use http_body_util::{BodyExt as _, Full};
 use rstest::rstest;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
@@ -121,3 +121,24 @@
     assert!(matches!(result, Err(Call::Large)), "{:?}", result.map(|it| it.status()));
     target.abort();
 }
+
+/// Guards against idle connections that a request on a new one uses up.
+#[tokio::test]
+async fn a_request_on_a_new_connection_leaves_the_idle_one() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    let server = tokio::spawn(async move {
+        let (mut kept, _) = listener.accept().await.expect("a connection");
+        answer(&mut kept, 5).await.expect("a request");
+        let (mut other, _) = listener.accept().await.expect("a second connection");
+        answer(&mut other, 5).await.expect("a request");
+        timeout(PATIENCE, answer(&mut kept, 5)).await.expect("the first one is used again")
+    });
+    let pool = Pool::new(Settings { max_idle: 1, ..Settings::default() });
+    for connection in [Connection::Reused, Connection::New, Connection::Reused] {
+        let reply = pool.send(address, request(5), connection).await.expect("an answer");
+        let body = reply.into_body().collect().await.expect("a whole body");
+        assert_eq!(body.to_bytes(), "ok");
+    }
+    server.await.expect("no panic").expect("a third request");
+}
