--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -210,9 +210,12 @@
         self.state().reader(now, own, |_| true)
     }
 
-    /// Excludes a peer that could not answer for the store as its reader until `until`.
-    pub(crate) fn exclude_reader(&self, name: &str, until: Time) {
-        self.state().excluded_readers.insert(name.to_owned(), until);
+    /// Excludes a peer that could not answer for the store as its reader until `until`, and forgets
+    /// exclusions that are over.
+    pub(crate) fn exclude_reader(&self, now: Time, name: &str, until: Time) {
+        let mut state = self.state();
+        state.excluded_readers.retain(|_, it| now < *it);
+        state.excluded_readers.insert(name.to_owned(), until);
     }
 
     /// Returns the number of living peers in this entry's failure domain, without this entry.
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -154,7 +154,8 @@
                         Event::Lost { dependency: "reader", kind: Kind::Config, reason: &reason };
                     shared.journal.note(&event);
                 }
-                shared.peers.exclude_reader(&name, shared.now() + READER_EXCLUSION);
+                let now = shared.now();
+                shared.peers.exclude_reader(now, &name, now + READER_EXCLUSION);
             }
         }
     }
