--- a/gateway/src/content.rs
+++ b/gateway/src/content.rs
@@ -17,9 +17,10 @@
 use crate::memory::Limiter;
 use crate::pool::Reply;
 use crate::port::Platform;
+use crate::progress::Stage;
 use crate::quarantine;
 use crate::reason::Reason;
-use crate::request::{Job, Times, remove_hop_by_hop};
+use crate::request::{ENTRY_ENDS, Job, STOP_COUNTER, Times, remove_hop_by_hop};
 use crate::slot::Slot;
 
 /// Largest number of bytes of an answer that are read ahead of its caller, beyond what was kept.
@@ -102,6 +103,7 @@
     let (request, after_ms) = (&*job.head.id, job.waited_ms());
     shared.journal.note(&Event::PassedOn { request, target, kept_bytes, after_ms });
     let (sender, answer) = Answer::stream(shared.buffer_limiter.read_ahead(MAX_READ_AHEAD_BYTES));
+    shared.connections.set_stage(job.connection, Stage::Streaming);
     let target = target.to_owned();
     let first_event = Some(shared.now().since(job.arrived));
     let times = Times { first_event, ..Times::default() };
@@ -111,8 +113,10 @@
             biased;
             () = sender.closed() => Err(Reason::CallerLeft),
             result = send(&job, part, &sender) => result,
+            () = shared.stop.closing() => Err(Reason::EntryEnds),
         };
         let outcome = finish(&mut job, slot, result);
+        shared.connections.set_stage(job.connection, Stage::Answered);
         job.record_end(&target, status, outcome, times);
         if result.is_err() {
             sender.fail().await;
@@ -164,6 +168,10 @@
     let (completion, outcome) = match result {
         Ok(()) => (Completion::Answered, "answered"),
         Err(Reason::CallerLeft) => (Completion::Cancelled, "left"),
+        Err(Reason::EntryEnds) => {
+            job.shared.metrics.count(STOP_COUNTER, "outcome=\"broken\"");
+            (Completion::Cancelled, ENTRY_ENDS)
+        }
         Err(_) => (Completion::Failed, "broken"),
     };
     if let Some(mut slot) = slot {
--- a/gateway/src/progress.rs
+++ b/gateway/src/progress.rs
@@ -21,7 +21,7 @@
     Between,
     /// The request was sent to a target, which has not answered.
     Sent,
-    /// The events of a stream are being passed on.
+    /// The events of a stream, or the pieces of an answer that isn't kept, are being passed on.
     Streaming,
     /// The answer is complete, and the caller may not have been sent its last bytes.
     Answered,
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -167,6 +167,7 @@
             biased;
             () = sender.closed() => return job.record_end(&target, status, "left", times),
             next = resume(&mut job, &reader, &mut may_have_run) => next,
+            () = shared.stop.closing() => Err(ENTRY_ENDS),
         };
         match next {
             Ok(next) => {
@@ -175,6 +176,9 @@
                 upstream = next;
             }
             Err(reason) => {
+                if reason == ENTRY_ENDS {
+                    shared.metrics.count(STOP_COUNTER, "outcome=\"broken\"");
+                }
                 job.record_end(&target, status, reason, times);
                 shared.connections.set_stage(job.connection, Stage::Answered);
                 return sender.fail().await;
@@ -201,7 +205,6 @@
     may_have_run: &mut bool,
 ) -> Result<Upstream<P>, &'static str> {
     if job.shared.stop.is_closing() {
-        job.shared.metrics.count(STOP_COUNTER, "outcome=\"broken\"");
         return Err(ENTRY_ENDS);
     }
     if !job.route.is_idempotent() {
