Pass no success without the stamp of a replica on

A success without a stamp is now an attempt whose outcome is unknown, as one that names another request: an idempotent request goes on elsewhere, another one gets 502.

an_incomplete_or_mismatched_answer_is_never_passed_on::case_5_no_stamp failed before (200 and 4 bytes), passes now. Stand-ins that answer byte for byte bear the stamp that a replica's answer has; nothing that they check has changed.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -1,6 +1,7 @@
 //! Requests whose response is read as a whole before it is sent to the caller.
 
 use decision::gateway::balance::{Completion, Key};
+use decision::gateway::continuation::Rejection;
 use http::{Response, StatusCode, response};
 use tokio::time::timeout_at;
 
@@ -171,6 +172,9 @@
     if answer.encoded {
         return (Attempt::Unknown(Reason::Encoded), Completion::Failed);
     }
+    if head.status.is_success() && !answer.has_stamp {
+        return (Attempt::Unknown(Reason::Rejected(Rejection::NoStamp)), Completion::Failed);
+    }
     match content::read(&job.shared.buffer_limiter, body).await {
         Some(content) => (Attempt::Answered(Box::new(head), content, None), Completion::Answered),
         None => (Attempt::Unknown(Reason::ResponseBrokeOff), Completion::Failed),
