--- a/gateway/src/splitter.rs
+++ b/gateway/src/splitter.rs
@@ -47,8 +47,8 @@
         };
         let whole = self.pending.split_to(end).freeze();
         self.scanned = self.pending.len();
+        // What follows the event is at most one read; the next call reserves it.
         self.reservation = None;
-        self.reserve()?;
         Ok(Some(whole))
     }
 
