--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -20,16 +20,13 @@
 use crate::reason::Reason;
 use crate::refusal::{Denial, Refusal};
 use crate::request::{ENTRY_ENDS, Job, STOP_COUNTER, Times, remove_hop_by_hop};
+use crate::silence;
 use crate::slot::Slot;
 
 /// Largest number of bytes of a stream that are read ahead of a slow caller. The limit is lower
 /// while the entry is short of memory.
 const MAX_READ_AHEAD_BYTES: u32 = 64 << 10;
 
-/// Silence of one stream after which it is resumed elsewhere, even if its target sends events of
-/// other streams.
-const STREAM_SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Number of targets that may fail to run the request before it is given up.
 const MAX_REFUSALS: usize = 4;
 
@@ -240,7 +237,7 @@
     let mut last_received = shared.now();
     let mut earliest_check = Time::ZERO;
     loop {
-        let check = next_check(job, &upstream.slot, last_received).max(earliest_check);
+        let check = silence::next_check(job, &upstream.slot, last_received).max(earliest_check);
         let frame = tokio::select! {
             biased;
             frame = upstream.body.frame() => frame,
@@ -250,13 +247,13 @@
                     return Err(Reason::DeadlinePassed);
                 }
                 if let Some(until) =
-                    late_timer_grace(now, check).filter(|_| earliest_check <= last_received)
+                    silence::late_timer_grace(now, check).filter(|_| earliest_check <= last_received)
                 {
                     earliest_check = until;
                     continue;
                 }
                 if !job.route.is_idempotent()
-                    || !check_silence(job, &upstream.slot, last_received)
+                    || !silence::check(job, &upstream.slot, last_received)
                 {
                     continue;
                 }
@@ -265,7 +262,7 @@
                     return Err(Reason::Silent);
                 }
                 // No other target may take over, but this one may still go on: check again later.
-                earliest_check = next_doubt(job);
+                earliest_check = silence::next_doubt(job);
                 continue;
             }
         };
@@ -295,54 +292,6 @@
     }
 }
 
-/// Returns when to check next whether a target is silent.
-fn next_check<P: Platform>(job: &Job<P>, slot: &Slot<P>, last_received: Time) -> Time {
-    let now = job.shared.now();
-    let target_deadline = job.shared.balance().silence_deadline(now, slot.key, &slot.terms);
-    let stream_deadline = last_received + STREAM_SILENCE_TIMEOUT;
-    let soonest = target_deadline.map_or(stream_deadline, |it| it.min(stream_deadline));
-    let soonest = soonest.max(now + MIN_CHECK_INTERVAL);
-    soonest.min(job.deadline.max(now + MIN_CHECK_INTERVAL))
-}
-
-/// Returns when to check again a target that is silent while no other one may take over.
-fn next_doubt<P: Platform>(job: &Job<P>) -> Time {
-    (job.shared.now() + STREAM_SILENCE_TIMEOUT).min(job.deadline)
-}
-
-/// Shortest interval between two checks of a target.
-const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
-
-/// Returns until when to wait for data before a target counts as silent, if the timer for `due`
-/// fired late: the entry was busy then, and may not have read yet what arrived meanwhile.
-fn late_timer_grace(now: Time, due: Time) -> Option<Time> {
-    let late = now.since(due);
-    (late > TIMER_TOLERANCE).then(|| now + late.min(MAX_LATE_TIMER_GRACE))
-}
-
-/// Delay of a timer up to which the entry does not count as busy.
-const TIMER_TOLERANCE: Duration = Duration::from_millis(5);
-
-/// Longest time that an entry which was busy waits for data.
-const MAX_LATE_TIMER_GRACE: Duration = Duration::from_millis(100);
-
-/// Checks whether a target, or its stream that last sent data at `last_received`, has been silent
-/// for too long. If the target has been, reports it as suspect and closes its idle connections.
-fn check_silence<P: Platform>(job: &Job<P>, slot: &Slot<P>, last_received: Time) -> bool {
-    let now = job.shared.now();
-    let is_silent = job.shared.balance().check_silence(now, slot.key, &slot.terms);
-    if is_silent {
-        let silent_ms = crate::request::millis(now.since(last_received));
-        job.shared.journal.note(&Event::Suspect { target: &slot.target.id, silent_ms });
-        job.shared.fleet_changed.notify_waiters();
-    }
-    if is_silent {
-        // Its other connections may be dead too.
-        job.shared.targets.close_idle(slot.target.address);
-    }
-    is_silent || now.since(last_received) >= STREAM_SILENCE_TIMEOUT
-}
-
 /// Sends the request to targets until one opens the stream, or continues that of `reader`. Sets
 /// `may_have_run` if a target may have run the request.
 async fn open<P: Platform>(
@@ -398,7 +347,7 @@
         let begun = job.shared.now();
         let mut earliest_check = Time::ZERO;
         loop {
-            let check = next_check(job, &slot, begun).max(earliest_check);
+            let check = silence::next_check(job, &slot, begun).max(earliest_check);
             tokio::select! {
                 biased;
                 result = &mut exchange => break result,
@@ -406,17 +355,17 @@
                     if job.shared.now() >= job.deadline {
                         break Err((Failure::Unknown(Reason::NoResponse), Completion::Failed));
                     }
-                    let grace = late_timer_grace(job.shared.now(), check);
+                    let grace = silence::late_timer_grace(job.shared.now(), check);
                     if let Some(until) = grace.filter(|_| earliest_check <= begun) {
                         earliest_check = until;
                         continue;
                     }
-                    if job.route.is_idempotent() && check_silence_before_response(job, &slot) {
+                    if job.route.is_idempotent() && silence::check_before_response(job, &slot) {
                         if job.may_fail_over(slot.key) {
                             permit = job.request_permit();
                             break Err((Failure::Silent, Completion::Failed));
                         }
-                        earliest_check = next_doubt(job);
+                        earliest_check = silence::next_doubt(job);
                     }
                 }
             }
@@ -442,12 +391,6 @@
     }
 }
 
-/// Checks the silence of a target that has not responded yet. Only the silence on all its streams
-/// counts.
-fn check_silence_before_response<P: Platform>(job: &Job<P>, slot: &Slot<P>) -> bool {
-    check_silence(job, slot, job.shared.now())
-}
-
 /// Sends `request` and reads the header of the response. On failure also returns how the attempt
 /// ended for the target.
 async fn exchange<P: Platform>(
