Review: order the cases by gravity

Replicas that left become case 8, channels that refuse what a new limit allows case 9; 6 and 7 follow.

--- a/review/6/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Shows case 6. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# Shows case 8. Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
 root="$(cd "$here/../.." && pwd)"
