--- a/review/play-2/src/main.rs
+++ b/review/play-2/src/main.rs
@@ -7,7 +7,10 @@
 mod leave;
 mod limits;
 mod link;
+mod parts;
+mod silence;
 mod store;
+mod streams;
 mod world;
 
 use std::path::PathBuf;
@@ -24,6 +27,8 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     let played = match case.as_str() {
         "leave" => leave::play(&entry, &folder, &record, has_trouble),
+        "parts" => parts::play(&entry, &folder, &record, has_trouble),
+        "silence" => silence::play(&entry, &folder, &record, has_trouble),
         "limits" => limits::play(&entry, &folder, &record, has_trouble),
         _ => {
             eprintln!("no such case: {case}");
--- a/review/play-2/src/world.rs
+++ b/review/play-2/src/world.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -111,6 +111,8 @@
     child: Child,
     pub callers: SocketAddr,
     ready: SocketAddr,
+    program: PathBuf,
+    folder: PathBuf,
 }
 
 impl Entry {
@@ -137,6 +139,8 @@
             child,
             callers: SocketAddr::from(([127, 0, 0, 1], callers)),
             ready: SocketAddr::from(([127, 0, 0, 1], ready)),
+            program: program.to_owned(),
+            folder: folder.to_owned(),
         })
     }
 
@@ -154,6 +158,17 @@
         false
     }
 
+    /// Kills the process, and starts it again with the same settings after `down`.
+    pub fn restart(&mut self, down: Duration) -> std::io::Result<()> {
+        self.kill();
+        thread::sleep(down);
+        let path = self.folder.join("settings.json");
+        let settings = fs::read_to_string(&path)?;
+        fs::write(path, settings.replace("\"first_start\":true", "\"first_start\":false"))?;
+        self.child = spawn(&self.program, &self.folder)?;
+        Ok(())
+    }
+
     fn kill(&mut self) {
         drop(self.child.kill());
         drop(self.child.wait());
