Review: streams of a sound replica are cut as another one has crashed (case 7)

A service without an engine bears 30 ms of silence between two events. A stream that is left for that can't go on elsewhere if the other replica is gone, and is not taken up again where it was.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -6,6 +6,6 @@
 folder="$(mktemp -d)" || exit 2
 trap 'rm -rf "$folder"' EXIT
 cd "$root" || exit 2
-"$root/target/play-2/release/play-2" limits "$root/target/release/rhubarblatch-entry" "$folder" "$here/record.txt"
+"$root/target/play-2/release/play-2" silence "$root/target/release/rhubarblatch-entry" "$folder" "$here/record.txt"
 code=$?
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
