Give up a list whose pages don't lead to its end

Cause: the list went on after whatever name came last, and took a page without one for the end.

A cursor now goes on only after a name after which it has not asked yet. Otherwise the list fails as one that can't be taken: the known objects stay, the reason is in the `lost` and `rereading` lines, and the kind is read another way with growing pauses.

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -4,6 +4,7 @@
 //! [`crate::relay`]), and follow the store themselves while it can't answer.
 
 mod call;
+mod cursor;
 mod list;
 
 use std::sync::Arc;
@@ -108,6 +109,12 @@
     /// The store was restored while its objects were read page by page.
     #[error("the store was restored between two pages of a list")]
     EraChanged,
+    /// A page of a list that goes on has no readable name.
+    #[error("a page of a list has no name after which the next one follows")]
+    NamelessPage,
+    /// A page of a list ends with the same name as an earlier one.
+    #[error("the store repeats the pages of a list")]
+    RepeatedPage,
 }
 
 impl Error {
@@ -115,7 +122,10 @@
     /// for.
     fn outcome(&self) -> Option<Outcome> {
         match self {
-            Error::Call(Call::Large | Call::Slow) | Error::Malformed(_) => Some(Outcome::Untaken),
+            Error::Call(Call::Large | Call::Slow)
+            | Error::Malformed(_)
+            | Error::NamelessPage
+            | Error::RepeatedPage => Some(Outcome::Untaken),
             Error::Call(Call::Timeout | Call::Broken(_)) => Some(Outcome::Unanswered),
             Error::Status(StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) => None,
             Error::Status(status) if status.is_client_error() => Some(Outcome::Untaken),
--- a/gateway/src/follow/list.rs
+++ b/gateway/src/follow/list.rs
@@ -7,6 +7,7 @@
 use decision::prelude::*;
 use http::StatusCode;
 
+use super::cursor::Cursor;
 use super::{CALL_TIMEOUT_MARGIN, Error, announce_era, call_store};
 use crate::apply;
 use crate::journal::Event;
@@ -35,19 +36,19 @@
     let known = shared.mirror().version(kind);
     let mut items = Vec::new();
     let mut first: Option<Version> = None;
-    let mut after: Option<Arc<str>> = None;
+    let mut cursor = Cursor::default();
     loop {
         let store = shared.settings().store;
-        let request = shared.platform.list(store, kind, after.as_deref());
+        let request = shared.platform.list(store, kind, cursor.after());
         let reply = call_store(shared, request, time_limit).await?;
         let page = shared.platform.page(kind, &reply.body)?;
         let version = first.get_or_insert(Version { era: reply.era, revision: page.revision });
         if version.era != reply.era {
             return Err(Error::EraChanged);
         }
-        after = page.items.last().map(|it| it.name.clone());
+        let has_next = cursor.advance(&page)?;
         items.extend(page.items);
-        if !page.more || after.is_none() {
+        if !has_next {
             break;
         }
     }
