Read the operator's configuration from its own object only

An object of another writer beside `config/main` was read as a configuration too. With a higher version it came into force at all entries: routes and keys of the operator were gone, and callers got 404 and 401 for what the operator allows, until the operator's versions passed it. While lists and changes can't be read, it also counted as a confirmation of the operator's one.

--- a/gateway/src/follow/list.rs
+++ b/gateway/src/follow/list.rs
@@ -11,7 +11,7 @@
 use super::{CALL_TIMEOUT_MARGIN, Error, announce_era, call_store};
 use crate::apply;
 use crate::journal::Event;
-use crate::port::{Changes, Kind, Platform};
+use crate::port::{Changes, Kind, Object, Platform};
 use crate::state::Shared;
 
 /// Most objects that are read one at a time before changes are tried again.
@@ -118,7 +118,7 @@
         Ok(reply) if reply.era != era => return Err(Error::EraChanged),
         Ok(reply) => {
             let item = shared.platform.object(kind, &reply.body)?;
-            if kind == Kind::Config {
+            if matches!(item.object, Object::Config(_)) {
                 confirmed_at = requested_at;
                 changes.revision = changes.revision.max(item.revision);
             }
