Read the lease by its name

The lease was looked for on the first page of its kind. Objects of other writers that precede it fill that page, one of 1 MB by itself: no entry found the lease, each tried to create it, and the store refused, as it exists. Nobody formed or healed replicas, so that after a restart of all processes streams got 503.

The lease is now read as a single object; without one the store answers 404. It is the same number of calls.

--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -259,7 +259,7 @@
     loop {
         let write = port::Write { kind: Kind::Entries, name, condition, value: value.clone() };
         let put = shared.platform.put(store, &write);
-        match follow::write_store(shared, put, STORE_TIMEOUT).await {
+        match follow::send_to_store(shared, put, STORE_TIMEOUT).await {
             Ok(reply) if reply.status.is_success() => return,
             Ok(reply) if is_taken(&reply.status, condition) => {
                 condition = Condition::Exists;
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -20,7 +20,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-pub(crate) use self::call::{call_store, write_store};
+pub(crate) use self::call::{call_store, send_to_store};
 pub(crate) use self::list::relist_instances;
 use crate::error::Call;
 use crate::journal::Event;
--- a/gateway/src/follow/call.rs
+++ b/gateway/src/follow/call.rs
@@ -32,7 +32,7 @@
     request: Outgoing,
     timeout: Duration,
 ) -> Result<Reply, Error> {
-    let reply = write_store(shared, request, timeout).await?;
+    let reply = send_to_store(shared, request, timeout).await?;
     match reply.status.is_success() {
         true => Ok(reply),
         false => Err(Error::Status(reply.status)),
@@ -44,7 +44,7 @@
 /// # Errors
 ///
 /// If the call fails, or the era of the response isn't the known one.
-pub(crate) async fn write_store<P: Platform>(
+pub(crate) async fn send_to_store<P: Platform>(
     shared: &Shared<P>,
     request: Outgoing,
     timeout: Duration,
--- a/gateway/src/lapse.rs
+++ b/gateway/src/lapse.rs
@@ -61,7 +61,7 @@
     let Some(item) = stored.filter(|it| matches!(it.object, Object::Entry(_))) else { return };
     let store = shared.settings().store;
     let request = shared.platform.delete(store, Kind::Entries, name, item.revision);
-    let result = match follow::write_store(shared, request, REMOVAL_TIMEOUT).await {
+    let result = match follow::send_to_store(shared, request, REMOVAL_TIMEOUT).await {
         Ok(reply) => reply.status.to_string(),
         Err(error) => error.to_string(),
     };
--- a/gateway/src/lease.rs
+++ b/gateway/src/lease.rs
@@ -5,6 +5,7 @@
 
 use decision::gateway::era::Era;
 use decision::prelude::*;
+use http::StatusCode;
 
 use crate::follow::{self, Error};
 use crate::journal::Event;
@@ -32,10 +33,13 @@
 ///
 /// If the store doesn't answer, or its response can't be read.
 pub(crate) async fn read<P: Platform>(shared: &Shared<P>) -> Result<Reading, Error> {
-    let request = shared.platform.list(shared.settings().store, Kind::Leases, None);
-    let reply = follow::call_store(shared, request, follow::CALL_TIMEOUT_MARGIN).await?;
-    let page = shared.platform.page(Kind::Leases, &reply.body)?;
-    let held = page.items.into_iter().find(|it| &*it.name == LEASE_NAME);
+    let request = shared.platform.get(shared.settings().store, Kind::Leases, LEASE_NAME);
+    let reply = follow::send_to_store(shared, request, follow::CALL_TIMEOUT_MARGIN).await?;
+    let held = match reply.status {
+        StatusCode::NOT_FOUND => None,
+        status if status.is_success() => Some(shared.platform.object(Kind::Leases, &reply.body)?),
+        status => return Err(Error::Status(status)),
+    };
     Ok(Reading { held, era: reply.era })
 }
 
@@ -79,7 +83,7 @@
     let put = shared
         .platform
         .put(store, &Write { kind: Kind::Leases, name: LEASE_NAME, condition, value });
-    match follow::write_store(shared, put, WRITE_TIMEOUT).await {
+    match follow::send_to_store(shared, put, WRITE_TIMEOUT).await {
         Ok(reply) => reply.status.is_success() && reply.era == reading.era,
         Err(error) => {
             let reason = error.to_string();
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -131,7 +131,7 @@
             continue;
         }
         let Some(request) = next_store_call(&shared, &mut surplus) else { continue };
-        match follow::write_store(&shared, request, STORE_TIMEOUT).await {
+        match follow::send_to_store(&shared, request, STORE_TIMEOUT).await {
             Ok(reply) if is_settled(reply.status) => {}
             Ok(reply) => report_failure(&shared, &follow::Error::Status(reply.status)),
             Err(error) => report_failure(&shared, &error),
