Pass no answer on whose status is none of a final response

What got through was a status that the library takes and no final response has: 600 to 999 reached callers with the target's stamp, and 101 as well, as a switch of protocols for which nobody had asked, so that what follows on that connection is no HTTP for the caller. The project's own daemon passed them on too.

Cause: the codes were left to the library, which takes any of three digits from 100 on, and ends its reading at 101. A pure check of the head now follows it in both pools of connections, so that it holds for targets, the store and peers alike. The outcome of such a call is unknown: an idempotent request goes elsewhere, another one gets 502 (`malformed head`). In a check for a crash it is an answer of a living process.

--- a/decision/src/lib.rs
+++ b/decision/src/lib.rs
@@ -13,6 +13,7 @@
 //! | What must a fabric domain's owner do? | [`owner::Owner`] | [`fabric`], [`lease`], [`lifecycle`], [`reconcile`], [`order`], [`probe`] |
 //! | Which replicas may serve? | [`evidence::Evidence`] | [`report`], [`target`] |
 //! | What becomes of a request that passes through unread? | [`gateway`] | [`gateway::route`], [`gateway::balance`], [`gateway::formation`] |
+//! | May the head of a response be relied on? | [`response::check`] | |
 //! | What is to run where? | [`placement::plan`] | [`survey`] |
 
 pub mod attempt;
@@ -55,6 +56,7 @@
 pub mod refusal;
 pub mod report;
 pub mod request;
+pub mod response;
 pub mod retry;
 pub mod roster;
 pub mod router;
--- /dev/null
+++ b/decision/tests/response.rs
@@ -0,0 +1,18 @@
+//! Heads of responses that may be relied on.
+
+use decision::response::{self, Violation};
+use rstest::rstest;
+
+#[rstest]
+#[case::first(200, Ok(()))]
+#[case::last(599, Ok(()))]
+#[case::unassigned(299, Ok(()))]
+#[case::interim(101, Err(Violation::Status(101)))]
+#[case::above(600, Err(Violation::Status(600)))]
+#[case::none(0, Err(Violation::Status(0)))]
+fn only_final_status_codes_are_accepted(
+    #[case] status: u16,
+    #[case] result: Result<(), Violation>,
+) {
+    assert_eq!(response::check(status), result);
+}
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -153,6 +153,9 @@
             return (Attempt::NotRun(Reason::ConnectionClosed), Completion::Failed);
         }
         Err(Call::Large) => return (Attempt::Unknown(Reason::LargeHead), Completion::Failed),
+        Err(Call::Malformed(_)) => {
+            return (Attempt::Unknown(Reason::MalformedHead), Completion::Failed);
+        }
         Err(_) => return (Attempt::Unknown(Reason::ConnectionBroke), Completion::Failed),
     };
     let (head, body) = response.into_parts();
--- a/gateway/src/error.rs
+++ b/gateway/src/error.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use decision::response::Violation;
+
 /// Why the gateway can't start or keep running.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -62,6 +64,9 @@
     /// The response began in time, but did not end.
     #[error("answer did not end in time")]
     Slow,
+    /// The head of the response breaks the protocol.
+    #[error("malformed response: {0}")]
+    Malformed(#[from] Violation),
     /// The response exceeds its size limit.
     #[error("response exceeds its size limit")]
     Large,
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -122,7 +122,7 @@
     /// for.
     fn outcome(&self) -> Option<Outcome> {
         match self {
-            Error::Call(Call::Large | Call::Slow)
+            Error::Call(Call::Large | Call::Slow | Call::Malformed(_))
             | Error::Malformed(_)
             | Error::NamelessPage
             | Error::RepeatedPage => Some(Outcome::Untaken),
--- a/gateway/src/pool.rs
+++ b/gateway/src/pool.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use decision::response;
 use http::{Request, Response, header};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -238,6 +239,7 @@
                 return Err((error, unsent));
             }
         };
+        response::check(response.status().as_u16()).map_err(|it| (it.into(), None))?;
         let idle_timeout = idle_timeout(&response, self.shared.settings.idle_timeout);
         let is_framed = is_framed(&response);
         let shared = self.shared.clone();
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -230,7 +230,7 @@
             let report = shared.platform.report(answer.body());
             report.is_ok_and(|it| it.incarnation != target.incarnation.0)
         }
-        Err(Call::Timeout | Call::Slow) => false,
+        Err(Call::Timeout | Call::Slow | Call::Malformed(_)) => false,
         Err(Call::Connect(error)) => error.kind() != std::io::ErrorKind::TimedOut,
         Err(_) => true,
     };
--- a/gateway/src/reason.rs
+++ b/gateway/src/reason.rs
@@ -25,6 +25,8 @@
     Encoded,
     /// The head of the response exceeds its size limit.
     LargeHead,
+    /// The head of the response breaks the protocol.
+    MalformedHead,
     /// The body of the response ended early.
     ResponseBrokeOff,
     /// The stream ended early.
@@ -67,6 +69,7 @@
             Reason::NoRequest => "answer to no request",
             Reason::Encoded => "answer is encoded",
             Reason::LargeHead => "head too long",
+            Reason::MalformedHead => "malformed head",
             Reason::ResponseBrokeOff => "answer broke off",
             Reason::StreamBrokeOff => "stream broke off",
             Reason::LargeEvent => "event too long",
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -412,6 +412,9 @@
         Err(Call::Large) => {
             return Err((Failure::Unknown(Reason::LargeHead), Completion::Failed));
         }
+        Err(Call::Malformed(_)) => {
+            return Err((Failure::Unknown(Reason::MalformedHead), Completion::Failed));
+        }
         Err(_) => return Err((Failure::Unknown(Reason::ConnectionBroke), Completion::Failed)),
     };
     let (head, body) = response.into_parts();
--- a/targets/src/connection.rs
+++ b/targets/src/connection.rs
@@ -8,6 +8,7 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use decision::response;
 use http::{Request, Response};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper_util::client::legacy::Client;
@@ -91,7 +92,11 @@
         let guard = Arc::clone(&withheld);
         let request = request.map(|data| Guarded { data: Some(data), gate, withheld: guard });
         let source = match self.client.request(request).await {
-            Ok(response) => return Ok(response),
+            Ok(response) => {
+                let checked = response::check(response.status().as_u16());
+                checked.map_err(|source| Error::Malformed { address, source })?;
+                return Ok(response);
+            }
             Err(source) => source,
         };
         if withheld.load(Ordering::Acquire) {
--- a/targets/src/error.rs
+++ b/targets/src/error.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use decision::outcome::Progress;
+use decision::response::Violation;
 use http::StatusCode;
 
 /// Why a call to a target failed.
@@ -54,6 +55,14 @@
         /// What went wrong.
         source: hyper_util::client::legacy::Error,
     },
+    /// The head of the answer breaks the protocol.
+    #[error("the answer of target {address} is malformed: {source}")]
+    Malformed {
+        /// The target.
+        address: SocketAddr,
+        /// What was wrong.
+        source: Violation,
+    },
     /// The answer broke off.
     #[error("the answer of target {address} broke off: {source}")]
     Broken {
@@ -118,6 +127,7 @@
             | Error::Withheld { .. } => Progress::Unsent,
             Error::Declined { .. } => Progress::Declined,
             Error::Lost { .. }
+            | Error::Malformed { .. }
             | Error::Broken { .. }
             | Error::Status { .. }
             | Error::Missing { .. }
--- a/targets/tests/call.rs
+++ b/targets/tests/call.rs
@@ -21,6 +21,7 @@
 const FAILED: &str = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
 const LONG: &str = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nmore than";
 const CUT: &str = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\ncut";
+const CUT_HEAD: &str = "HTTP/1.1 200 OK\r\nx-a: b\r\n";
 
 /// Time after which a call counts as one that never ends.
 const PATIENCE: Duration = Duration::from_secs(5);
@@ -49,7 +50,7 @@
             return;
         }
         count.fetch_add(1, Ordering::SeqCst);
-        if stream.write_all(text.as_bytes()).await.is_err() || *text == CUT {
+        if stream.write_all(text.as_bytes()).await.is_err() || [CUT, CUT_HEAD].contains(text) {
             return;
         }
     }
@@ -131,6 +132,21 @@
     assert_eq!(found, progress);
 }
 
+/// Guards against answers that are taken although their heads break the protocol or break off.
+#[rstest::rstest]
+#[case::cut(CUT_HEAD)]
+#[case::status_of_zeros("HTTP/1.1 000 Odd\r\ncontent-length: 2\r\n\r\nok")]
+#[case::status_above_all("HTTP/1.1 600 Odd\r\ncontent-length: 2\r\n\r\nok")]
+#[case::switched_protocol("HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\n")]
+#[case::blank_in_name("HTTP/1.1 200 OK\r\nodd name: x\r\ncontent-length: 2\r\n\r\nok")]
+#[case::control_in_name("HTTP/1.1 200 OK\r\nodd\u{1}name: x\r\ncontent-length: 2\r\n\r\nok")]
+#[tokio::test]
+async fn an_answer_whose_head_breaks_the_protocol_is_none(#[case] answer: &'static str) {
+    let (address, _) = listen(Box::leak(Box::new([answer]))).await.unwrap();
+    let error = client().call(address, call(), Open).await.unwrap_err();
+    assert_eq!(error.progress(), Progress::Sent, "{error}");
+}
+
 #[tokio::test]
 async fn a_decline_carries_its_reason() {
     let (address, _) = listen(&[BUSY]).await.unwrap();
