Pass no answer on whose transfer coding is not chunks alone

A head may name other transfer codings. With `chunked, identity`, `xchunked` or a second line, the HTTP library reads until the connection ends, so that the caller got the framing of the chunks as part of the body, as a 200 with the target's stamp; with `gzip, chunked` it got compressed bytes without a word that they are. And the gateway took any value that ends with "chunked" for a framing that shows a truncated body, where the library had none: a stream that broke off in it looked whole.

The check of a head now takes no coding but `chunked` alone, once, so that the two can't disagree.

--- a/decision/tests/response.rs
+++ b/decision/tests/response.rs
@@ -14,5 +14,21 @@
     #[case] status: u16,
     #[case] result: Result<(), Violation>,
 ) {
-    assert_eq!(response::check(status), result);
+    assert_eq!(response::check(status, [""; 0]), result);
+}
+
+#[rstest]
+#[case::none(&[], Ok(()))]
+#[case::chunks(&["chunked"], Ok(()))]
+#[case::chunks_in_capitals(&[" Chunked "], Ok(()))]
+#[case::part_of_a_word(&["xchunked"], Err(Violation::Coding))]
+#[case::list(&["gzip, chunked"], Err(Violation::Coding))]
+#[case::two_lines(&["chunked", "identity"], Err(Violation::Coding))]
+#[case::twice(&["chunked", "chunked"], Err(Violation::Coding))]
+#[case::empty(&[""], Err(Violation::Coding))]
+fn chunks_are_the_only_transfer_coding(
+    #[case] codings: &[&str],
+    #[case] result: Result<(), Violation>,
+) {
+    assert_eq!(response::check(200, codings), result);
 }
--- a/gateway/src/pool.rs
+++ b/gateway/src/pool.rs
@@ -239,7 +239,8 @@
                 return Err((error, unsent));
             }
         };
-        response::check(response.status().as_u16()).map_err(|it| (it.into(), None))?;
+        let codings = response.headers().get_all(header::TRANSFER_ENCODING);
+        response::check(response.status().as_u16(), codings).map_err(|it| (it.into(), None))?;
         let idle_timeout = idle_timeout(&response, self.shared.settings.idle_timeout);
         let is_framed = is_framed(&response);
         let shared = self.shared.clone();
@@ -377,14 +378,12 @@
     }
 }
 
-/// Returns whether a complete body of `response` can be told from a truncated one.
+/// Returns whether a complete body of `response` can be told from a truncated one. Its only transfer
+/// coding is chunks.
 fn is_framed(response: &Response<Incoming>) -> bool {
-    let codings = response.headers().get_all(header::TRANSFER_ENCODING);
-    let is_chunked = |it: &header::HeaderValue| {
-        it.to_str().is_ok_and(|it| it.to_ascii_lowercase().trim_end().ends_with("chunked"))
-    };
     let body = response.body();
-    body.is_end_stream() || body.size_hint().exact().is_some() || codings.iter().any(is_chunked)
+    let is_chunked = response.headers().contains_key(header::TRANSFER_ENCODING);
+    body.is_end_stream() || body.size_hint().exact().is_some() || is_chunked
 }
 
 /// Returns how long the connection of `response` may stay idle in the pool: at most `limit`, and
--- a/targets/src/connection.rs
+++ b/targets/src/connection.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use decision::response;
-use http::{Request, Response};
+use http::{Request, Response, header};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -93,7 +93,8 @@
         let request = request.map(|data| Guarded { data: Some(data), gate, withheld: guard });
         let source = match self.client.request(request).await {
             Ok(response) => {
-                let checked = response::check(response.status().as_u16());
+                let codings = response.headers().get_all(header::TRANSFER_ENCODING);
+                let checked = response::check(response.status().as_u16(), codings);
                 checked.map_err(|source| Error::Malformed { address, source })?;
                 return Ok(response);
             }
--- a/targets/tests/call.rs
+++ b/targets/tests/call.rs
@@ -140,6 +140,12 @@
 #[case::switched_protocol("HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\n")]
 #[case::blank_in_name("HTTP/1.1 200 OK\r\nodd name: x\r\ncontent-length: 2\r\n\r\nok")]
 #[case::control_in_name("HTTP/1.1 200 OK\r\nodd\u{1}name: x\r\ncontent-length: 2\r\n\r\nok")]
+#[case::coding_after_chunks(
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked, x\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+)]
+#[case::coding_before_chunks(
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: x, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+)]
 #[tokio::test]
 async fn an_answer_whose_head_breaks_the_protocol_is_none(#[case] answer: &'static str) {
     let (address, _) = listen(Box::leak(Box::new([answer]))).await.unwrap();
