Pass no answer on whose connection header lists what it says

The gateway reads a head, then removes the headers of its connection, among them those that `connection` lists.

The headers are now removed as the head is read, and it must say the same before and after; otherwise it is a malformed head, and the outcome is unknown. Heads that list nothing unusual are read once, as before.

The cases stamp_of_the_connection and request_of_the_connection of an_answer_whose_head_breaks_the_protocol_is_never_passed_on failed before (200), and pass now.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -9,11 +9,11 @@
 use crate::content::{self, Content};
 use crate::error::Call;
 use crate::pool::Connection;
-use crate::port::{Platform, Run};
+use crate::port::{self, Platform, Run};
 use crate::quarantine;
 use crate::reason::Reason;
 use crate::refusal::{Denial, Refusal};
-use crate::request::{Job, Times};
+use crate::request::{Job, Times, remove_hop_by_hop};
 use crate::slot::Slot;
 
 /// An attempt that another one may follow times out after the objective of its route times this.
@@ -158,8 +158,10 @@
         }
         Err(_) => return (Attempt::Unknown(Reason::ConnectionBroke), Completion::Failed),
     };
-    let (head, body) = response.into_parts();
-    let answer = job.shared.platform.answer(&head);
+    let (mut head, body) = response.into_parts();
+    let Some(answer) = read_head(&job.shared.platform, &mut head) else {
+        return (Attempt::Unknown(Reason::MalformedHead), Completion::Failed);
+    };
     job.apply_target_state(slot, &answer);
     if answer.id.as_ref().is_some_and(|it| *it != job.head.id) {
         return (Attempt::Unknown(Reason::OtherRequest), Completion::Failed);
@@ -184,6 +186,17 @@
     }
 }
 
+/// Reads the head of a response and removes the headers of its connection. Returns `None` if the head
+/// lists headers there that say what the response is, as its caller would not get these.
+pub(crate) fn read_head<P: Platform>(
+    platform: &P,
+    head: &mut response::Parts,
+) -> Option<port::Answer> {
+    let answer = platform.answer(head);
+    let listed = remove_hop_by_hop(&mut head.headers);
+    (listed == 0 || platform.answer(head) == answer).then_some(answer)
+}
+
 /// Returns whether a response must name its request. On a reused connection it may belong to an
 /// earlier one, also if it says that the request did not run.
 pub(crate) fn needs_id(run: Run, connection: Connection) -> bool {
--- a/gateway/src/content.rs
+++ b/gateway/src/content.rs
@@ -20,7 +20,7 @@
 use crate::progress::Stage;
 use crate::quarantine;
 use crate::reason::Reason;
-use crate::request::{ENTRY_ENDS, Job, STOP_COUNTER, Times, remove_hop_by_hop};
+use crate::request::{ENTRY_ENDS, Job, STOP_COUNTER, Times};
 use crate::slot::Slot;
 
 /// Largest number of bytes of an answer that are read ahead of its caller, beyond what was kept.
@@ -60,7 +60,7 @@
     Some(Content::Whole(hold.into_bytes()))
 }
 
-/// Converts the response of a target, without hop-by-hop headers, into the one to the caller, and
+/// Converts the response of a target, whose head was read, into the one to the caller, and
 /// logs the end of the request. `slot` is the target's if it is still occupied.
 pub(crate) fn forward<P: Platform>(
     job: Job<P>,
@@ -69,7 +69,6 @@
     mut head: response::Parts,
     content: Content,
 ) -> Response<Answer> {
-    remove_hop_by_hop(&mut head.headers);
     head.headers.remove(header::CONTENT_LENGTH);
     let answer = match content {
         Content::Whole(bytes) => {
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -467,8 +467,8 @@
 }
 
 /// Removes the headers that apply to a single connection, including those that the header
-/// `connection` lists.
-pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) {
+/// `connection` lists. Returns how many others than the usual ones it listed.
+pub(crate) fn remove_hop_by_hop(headers: &mut HeaderMap) -> usize {
     let listed: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .into_iter()
@@ -476,8 +476,8 @@
         .flat_map(|it| it.split(','))
         .filter_map(|it| it.trim().parse().ok())
         .collect();
-    listed.iter().for_each(|it| drop(headers.remove(it)));
     HOP_BY_HOP_HEADERS.iter().for_each(|it| drop(headers.remove(it)));
+    listed.iter().filter_map(|it| headers.remove(it)).count()
 }
 
 /// Returns the path and query of a request, or `/` if it has none, as they are sent to a target.
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -19,7 +19,7 @@
 use crate::quarantine;
 use crate::reason::Reason;
 use crate::refusal::{Denial, Refusal};
-use crate::request::{ENTRY_ENDS, Job, STOP_COUNTER, Times, remove_hop_by_hop};
+use crate::request::{ENTRY_ENDS, Job, STOP_COUNTER, Times};
 use crate::silence;
 use crate::slot::Slot;
 
@@ -94,7 +94,6 @@
     let mut response = Response::new(());
     *response.status_mut() = upstream.head.status;
     *response.headers_mut() = upstream.head.headers.clone();
-    remove_hop_by_hop(response.headers_mut());
     response.headers_mut().remove(header::CONTENT_LENGTH);
     let (sender, answer) =
         Answer::stream(job.shared.buffer_limiter.read_ahead(MAX_READ_AHEAD_BYTES));
@@ -417,8 +416,10 @@
         }
         Err(_) => return Err((Failure::Unknown(Reason::ConnectionBroke), Completion::Failed)),
     };
-    let (head, body) = response.into_parts();
-    let answer = job.shared.platform.answer(&head);
+    let (mut head, body) = response.into_parts();
+    let Some(answer) = call::read_head(&job.shared.platform, &mut head) else {
+        return Err((Failure::Unknown(Reason::MalformedHead), Completion::Failed));
+    };
     job.apply_target_state(slot, &answer);
     if answer.id.as_ref().is_some_and(|it| *it != job.head.id) {
         return Err((Failure::Unknown(Reason::OtherRequest), Completion::Failed));
