Read the objects of a list one by one in the own daemon

`rhubarblatchd` read the platform's list of instances, and its changes, as a whole: one instance of another writer with a field of another type made all of them unreadable. While it stood, an entry that started knew no instance, so that no replica was formed and streams got 503 (`no_target`); a running one took no change. Bodies of declarations and fabric domains were read as any JSON, but a number out of range or deep nesting in one of them failed the list.

store::Reading holds what one object holds, or why that can't be read. The lists and changes of instances, fabric domains and declarations use it. An instance that can't be read counts as not listed; a line of the log names each object and the reason.

--- a/operator/src/writer.rs
+++ b/operator/src/writer.rs
@@ -15,7 +15,7 @@
 use decision::roster;
 use serde::Deserialize;
 use store::object::Object;
-use store::{Error, Kind, Store, Version};
+use store::{Error, Kind, Reading, Store, Version};
 
 use crate::change::{Applied, Change, Configuration, Difference, Edit};
 use crate::entry::Forget;
@@ -317,10 +317,12 @@
     }
 
     async fn read_all(&self, found: &mut BTreeMap<Hash, Declaration>) -> Result<(), Refusal> {
-        let list = self.store.list::<serde_json::Value>(Kind::Declaration).await;
+        let list = self.store.list::<Reading<serde_json::Value>>(Kind::Declaration).await;
         for object in list.map_err(|error| unavailable(&error))?.objects {
-            if let Ok(declaration) = Declaration::deserialize(&object.value) {
-                found.insert(Hash::of_value(&object.value), declaration);
+            let value = object.value.readable(Kind::Declaration, &object.name);
+            let Some(value) = value else { continue };
+            if let Ok(declaration) = Declaration::deserialize(&value) {
+                found.insert(Hash::of_value(&value), declaration);
             }
         }
         Ok(())
--- a/rhubarblatchd/src/control/instances.rs
+++ b/rhubarblatchd/src/control/instances.rs
@@ -12,7 +12,7 @@
 use decision::name::Name;
 use serde::Deserialize;
 use store::object::Change;
-use store::{Error, Kind, Store as _, Version};
+use store::{Error, Kind, Reading, Store as _, Version};
 use tokio::time;
 
 use crate::node::Node;
@@ -61,13 +61,14 @@
 
     /// Reads the whole list, then its changes until a call fails.
     async fn watch(&self, node: &Node, failures: &mut u32) -> Result<(), Error> {
-        let list = node.store.list::<Instance>(Kind::Instance).await?;
+        let list = node.store.list::<Reading<Instance>>(Kind::Instance).await?;
         *failures = 0;
         let known = list.objects.into_iter().filter_map(|it| named(&it.name, it.value));
         *self.known.lock().unwrap_or_else(PoisonError::into_inner) = known.collect();
         let mut revision: Version = list.revision;
         while !node.stopped.is_cancelled() {
-            let changes = node.store.watch::<Instance>(Kind::Instance, revision, WATCH).await?;
+            let changes =
+                node.store.watch::<Reading<Instance>>(Kind::Instance, revision, WATCH).await?;
             revision = changes.revision;
             self.take(changes.objects);
             time::sleep(PAUSE).await;
@@ -75,13 +76,14 @@
         Ok(())
     }
 
-    fn take(&self, changes: Vec<Change<Instance>>) {
+    fn take(&self, changes: Vec<Change<Reading<Instance>>>) {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         for change in changes {
-            let Ok(name) = Name::new(&change.name) else { continue };
-            match change.value {
-                Some(instance) => drop(known.insert(name, instance)),
-                None => drop(known.remove(&name)),
+            let instance = change.value.and_then(|it| it.readable(Kind::Instance, &change.name));
+            match (Name::new(&change.name), instance) {
+                (Ok(name), Some(instance)) => drop(known.insert(name, instance)),
+                (Ok(name), None) => drop(known.remove(&name)),
+                (Err(_), _) => {}
             }
         }
     }
@@ -106,7 +108,9 @@
     }
 }
 
-fn named(name: &str, instance: Instance) -> Option<(Name, Instance)> {
+/// An instance that can't be read counts as not listed.
+fn named(name: &str, instance: Reading<Instance>) -> Option<(Name, Instance)> {
+    let instance = instance.readable(Kind::Instance, name)?;
     Some((Name::new(name).ok()?, instance))
 }
 
--- a/rhubarblatchd/src/control/objects.rs
+++ b/rhubarblatchd/src/control/objects.rs
@@ -13,8 +13,7 @@
 use decision::fabric::Fabric;
 use decision::name::Name;
 use decision::owner::Object;
-use serde_json::Value;
-use store::{Kind, Store};
+use store::{Kind, Reading, Store};
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{self, Instant};
 
@@ -99,13 +98,12 @@
     async fn list(&self) -> bool {
         let waiting = std::mem::take(&mut self.cells().waiting);
         let sent = self.uptime.now();
-        let Ok(list) = self.store.list::<Value>(Kind::Fabric).await else { return false };
+        let Ok(list) = self.store.list::<Reading<Fabric>>(Kind::Fabric).await else { return false };
         let objects = list.objects.into_iter();
         let mut objects: BTreeMap<_, _> = objects.map(|it| (it.name.clone(), it)).collect();
         for (fabric, sender) in waiting {
             let object = match objects.remove(fabric.as_str()) {
-                Some(it) => serde_json::from_value(it.value)
-                    .map(|fabric| Object { version: it.version.0, fabric }),
+                Some(it) => it.value.0.map(|fabric| Object { version: it.version.0, fabric }),
                 None => Ok(Object::default()),
             };
             match object {
--- a/rhubarblatchd/src/follower.rs
+++ b/rhubarblatchd/src/follower.rs
@@ -13,7 +13,7 @@
 use decision::name::Name;
 use serde_json::Value;
 use store::object::{Changes, Object};
-use store::{Error, Kind, Store, Version};
+use store::{Error, Kind, Reading, Store, Version};
 use tokio::sync::Notify;
 use tokio::time;
 
@@ -327,9 +327,10 @@
 
     async fn read_bodies(&self, hashes: &[Hash]) -> Vec<Value> {
         if hashes.len() > MAX_SINGLE_READS {
-            let list = self.store.list::<Value>(Kind::Declaration).await;
+            let list = self.store.list::<Reading<Value>>(Kind::Declaration).await;
             let objects = list.map(|list| list.objects).unwrap_or_default();
-            return objects.into_iter().map(|object| object.value).collect();
+            let value = |it: Object<Reading<Value>>| it.value.readable(Kind::Declaration, &it.name);
+            return objects.into_iter().filter_map(value).collect();
         }
         let mut bodies = Vec::new();
         for hash in hashes {
--- a/rhubarblatchd/tests/follower.rs
+++ b/rhubarblatchd/tests/follower.rs
@@ -119,6 +119,22 @@
     assert_eq!(applied, (1..=5).map(Generation).collect::<Vec<_>>());
 }
 
+/// Guards against changes of which one odd object makes that of the head unreadable.
+#[tokio::test(start_paused = true)]
+async fn a_change_is_applied_beside_an_odd_object() {
+    let store = Memory::default();
+    let entries = entries(&store);
+    run(&entries[0]);
+    let writer = writer(&store);
+    apply(&writer, 0, 1).await;
+    time::sleep(Duration::from_secs(2)).await;
+    let kind = store::Kind::Configuration;
+    store.put(kind, "odd", Version::ABSENT, &7).await.unwrap();
+    let generation = apply(&writer, 1, 2).await;
+    time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(entries[0].applied().generation(), generation);
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_entry_that_starts_during_an_outage_learns_from_a_peer() {
     let store = Memory::default();
--- a/rhubarblatchd/tests/processes/main.rs
+++ b/rhubarblatchd/tests/processes/main.rs
@@ -7,6 +7,7 @@
 mod large;
 mod late;
 mod leaving;
+mod odd;
 
 use std::time::Duration;
 
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -10,10 +10,12 @@
 mod kind;
 pub mod memory;
 pub mod object;
+mod reading;
 mod store;
 pub mod token;
 
 pub use error::Error;
 pub use kind::Kind;
 pub use object::Version;
+pub use reading::Reading;
 pub use store::Store;
--- a/store/tests/client.rs
+++ b/store/tests/client.rs
@@ -8,7 +8,7 @@
 use store::client::{Client, Settings};
 use store::count::Call;
 use store::token::Token;
-use store::{Error, Kind, Store, Version};
+use store::{Error, Kind, Reading, Store, Version};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -76,6 +76,28 @@
     assert!(!format!("{client:?}").contains("secret"));
 }
 
+/// Guards against odd objects that make a list, or changes, unreadable.
+#[rstest]
+#[case::other_type("7")]
+#[case::huge_number("1e999")]
+#[case::deep(&format!("{}{}", "[".repeat(100_000), "]".repeat(100_000)))]
+#[case::nothing("{}")]
+#[tokio::test]
+async fn an_odd_object_hides_no_other(#[case] odd: &str) {
+    let objects = format!(
+        r#"{{"revision":9,"objects":[{{"name":"a","version":1,"value":{odd}}},{{"name":"b","version":2,"value":["x"]}}]}}"#
+    );
+    let (address, _served) = serve(vec![answer(200, &objects), answer(200, &objects)]).await;
+    let client = client(address);
+    let list = client.list::<Reading<Vec<String>>>(Kind::Instance).await.unwrap();
+    let read: Vec<bool> = list.objects.iter().map(|it| it.value.0.is_ok()).collect();
+    assert_eq!(read, [false, true]);
+    let wait = Duration::from_millis(1);
+    let changes = client.watch::<Reading<Vec<String>>>(Kind::Instance, Version(0), wait).await;
+    let values = changes.unwrap().objects.into_iter().filter_map(|it| it.value);
+    assert_eq!(values.map(|it| it.0.is_ok()).collect::<Vec<bool>>(), [false, true]);
+}
+
 #[rstest]
 #[case::stale(answer(409, r#"{"version":9}"#), "at version 9")]
 #[case::too_large(answer(413, ""), "more than the store takes")]
