--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -2,18 +2,17 @@
 
 use decision::gateway::balance::{Completion, Key};
 use decision::gateway::continuation::Rejection;
-use http::{Response, StatusCode, response};
+use http::{StatusCode, response};
 use tokio::time::timeout_at;
 
 use crate::body::Answer;
 use crate::content::{self, Content};
-use crate::error::Call;
-use crate::pool::Connection;
-use crate::port::{self, Platform, Run};
+use crate::exchange::{self, Failure, Response};
+use crate::port::{Outgoing, Platform};
 use crate::quarantine;
 use crate::reason::Reason;
 use crate::refusal::{Denial, Refusal};
-use crate::request::{Job, Times, remove_hop_by_hop};
+use crate::request::{Job, Times};
 use crate::slot::Slot;
 
 /// An attempt that another one may follow times out after the objective of its route times this.
@@ -31,7 +30,7 @@
 
 /// Sends a request to targets until there is a response or no attempt is left. Returns the response
 /// to the caller.
-pub(crate) async fn run<P: Platform>(mut job: Job<P>) -> Response<Answer> {
+pub(crate) async fn run<P: Platform>(mut job: Job<P>) -> http::Response<Answer> {
     let mut unknown_status: Option<StatusCode> = None;
     loop {
         let slot = match job.acquire_slot(false).await {
@@ -88,7 +87,7 @@
     job: &Job<P>,
     denial: Denial,
     unknown_status: Option<StatusCode>,
-) -> Response<Answer> {
+) -> http::Response<Answer> {
     match unknown_status {
         Some(status) => fail_unknown(job, "", status),
         None => job.deny(denial),
@@ -96,7 +95,11 @@
 }
 
 /// Logs and returns a failure of a request that a target may have run.
-fn fail_unknown<P: Platform>(job: &Job<P>, target: &str, status: StatusCode) -> Response<Answer> {
+fn fail_unknown<P: Platform>(
+    job: &Job<P>,
+    target: &str,
+    status: StatusCode,
+) -> http::Response<Answer> {
     job.record_end(target, status, "unknown", Times::default());
     Refusal::new(status, "the attempt failed").response()
 }
@@ -140,43 +143,12 @@
 async fn exchange<P: Platform>(
     job: &Job<P>,
     slot: &Slot<P>,
-    request: crate::port::Outgoing,
+    request: Outgoing,
 ) -> (Attempt<P>, Completion) {
-    let connection = if job.route.is_idempotent() { Connection::Reused } else { Connection::New };
-    let sent = job.shared.targets.send(slot.target.address, request, connection).await;
-    let response = match sent {
+    let Response { head, body, answer } = match exchange::send(job, slot, request).await {
         Ok(response) => response,
-        Err(Call::Connect(_)) => {
-            return (Attempt::NotRun(Reason::CannotConnect), Completion::Failed);
-        }
-        Err(Call::Unsent) => {
-            return (Attempt::NotRun(Reason::ConnectionClosed), Completion::Failed);
-        }
-        Err(Call::Large) => return (Attempt::Unknown(Reason::LargeHead), Completion::Failed),
-        Err(Call::Malformed(_)) => {
-            return (Attempt::Unknown(Reason::MalformedHead), Completion::Failed);
-        }
-        Err(_) => return (Attempt::Unknown(Reason::ConnectionBroke), Completion::Failed),
+        Err(failure) => return (failure.into(), failure.completion()),
     };
-    let (mut head, body) = response.into_parts();
-    let Some(answer) = read_head(&job.shared.platform, &mut head) else {
-        return (Attempt::Unknown(Reason::MalformedHead), Completion::Failed);
-    };
-    job.apply_target_state(slot, &answer);
-    if answer.id.as_ref().is_some_and(|it| *it != job.head.id) {
-        return (Attempt::Unknown(Reason::OtherRequest), Completion::Failed);
-    }
-    if answer.id.is_none() && needs_id(answer.run, connection) {
-        return (Attempt::Unknown(Reason::NoRequest), Completion::Failed);
-    }
-    match answer.run {
-        Run::Refused => return (Attempt::NotRun(Reason::Refused), Completion::Refused),
-        Run::Misdirected => return (Attempt::NotRun(Reason::OtherInstance), Completion::Failed),
-        Run::Possible => {}
-    }
-    if answer.encoded {
-        return (Attempt::Unknown(Reason::Encoded), Completion::Failed);
-    }
     if head.status.is_success() && !answer.has_stamp {
         return (Attempt::Unknown(Reason::Rejected(Rejection::NoStamp)), Completion::Failed);
     }
@@ -186,19 +158,11 @@
     }
 }
 
-/// Reads the head of a response and removes the headers of its connection. Returns `None` if the head
-/// lists headers there that say what the response is, as its caller would not get these.
-pub(crate) fn read_head<P: Platform>(
-    platform: &P,
-    head: &mut response::Parts,
-) -> Option<port::Answer> {
-    let answer = platform.answer(head);
-    let listed = remove_hop_by_hop(&mut head.headers);
-    (listed == 0 || platform.answer(head) == answer).then_some(answer)
-}
-
-/// Returns whether a response must name its request. On a reused connection it may belong to an
-/// earlier one, also if it says that the request did not run.
-pub(crate) fn needs_id(run: Run, connection: Connection) -> bool {
-    run == Run::Possible || connection == Connection::Reused
+impl<P> From<Failure> for Attempt<P> {
+    fn from(failure: Failure) -> Attempt<P> {
+        match failure {
+            Failure::NotRun(reason) => Attempt::NotRun(reason),
+            Failure::Unknown(reason) => Attempt::Unknown(reason),
+        }
+    }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! | modules | purpose |
 //! | --- | --- |
-//! | `intake`, `routing`, `request`, `retry`, `slot`, `call`, `content`, `stream`, `event`, `silence`, `reason`, `refusal` | handling of callers' requests |
+//! | `intake`, `routing`, `request`, `retry`, `slot`, `exchange`, `call`, `content`, `stream`, `event`, `silence`, `reason`, `refusal` | handling of callers' requests |
 //! | `follow`, `relay`, [`mirror`], `history`, `apply` | objects of the store, read from it or from a peer |
 //! | `inform` | what peers know better than a store that was restored |
 //! | `owner`, `order` | orders to instances, given by one entry at a time |
@@ -25,6 +25,7 @@
 mod dropped;
 pub mod error;
 mod event;
+mod exchange;
 mod follow;
 mod history;
 mod inform;
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -8,13 +8,12 @@
 use tokio::time::sleep_until;
 
 use crate::body::{Answer, Delivery, Disconnected, Sender};
-use crate::call;
 use crate::content::{self, Content};
-use crate::error::Call;
 use crate::event::Reader;
+use crate::exchange;
 use crate::journal::Event;
-use crate::pool::{Connection, Reply};
-use crate::port::{Platform, Run};
+use crate::pool::Reply;
+use crate::port::{Outgoing, Platform};
 use crate::progress::Stage;
 use crate::quarantine;
 use crate::reason::Reason;
@@ -67,6 +66,15 @@
     Answered(Box<response::Parts>, Content),
 }
 
+impl From<exchange::Failure> for Failure {
+    fn from(failure: exchange::Failure) -> Failure {
+        match failure {
+            exchange::Failure::NotRun(reason) => Failure::NotRun(reason),
+            exchange::Failure::Unknown(reason) => Failure::Unknown(reason),
+        }
+    }
+}
+
 /// Why no target opens the stream.
 enum OpenError {
     /// No target is available.
@@ -396,47 +404,11 @@
     job: &Job<P>,
     slot: &Slot<P>,
     reader: &Reader,
-    request: crate::port::Outgoing,
+    request: Outgoing,
 ) -> Result<(response::Parts, Reply, Head), (Failure, Completion)> {
-    let connection = if job.route.is_idempotent() { Connection::Reused } else { Connection::New };
-    let sent = job.shared.targets.send(slot.target.address, request, connection).await;
-    let response = match sent {
-        Ok(response) => response,
-        Err(Call::Connect(_)) => {
-            return Err((Failure::NotRun(Reason::CannotConnect), Completion::Failed));
-        }
-        Err(Call::Unsent) => {
-            return Err((Failure::NotRun(Reason::ConnectionClosed), Completion::Failed));
-        }
-        Err(Call::Large) => {
-            return Err((Failure::Unknown(Reason::LargeHead), Completion::Failed));
-        }
-        Err(Call::Malformed(_)) => {
-            return Err((Failure::Unknown(Reason::MalformedHead), Completion::Failed));
-        }
-        Err(_) => return Err((Failure::Unknown(Reason::ConnectionBroke), Completion::Failed)),
-    };
-    let (mut head, body) = response.into_parts();
-    let Some(answer) = call::read_head(&job.shared.platform, &mut head) else {
-        return Err((Failure::Unknown(Reason::MalformedHead), Completion::Failed));
-    };
-    job.apply_target_state(slot, &answer);
-    if answer.id.as_ref().is_some_and(|it| *it != job.head.id) {
-        return Err((Failure::Unknown(Reason::OtherRequest), Completion::Failed));
-    }
-    if answer.id.is_none() && call::needs_id(answer.run, connection) {
-        return Err((Failure::Unknown(Reason::NoRequest), Completion::Failed));
-    }
-    match answer.run {
-        Run::Refused => return Err((Failure::NotRun(Reason::Refused), Completion::Refused)),
-        Run::Misdirected => {
-            return Err((Failure::NotRun(Reason::OtherInstance), Completion::Failed));
-        }
-        Run::Possible if answer.encoded => {
-            return Err((Failure::Unknown(Reason::Encoded), Completion::Failed));
-        }
-        Run::Possible => {}
-    }
+    let sent = exchange::send(job, slot, request).await;
+    let exchange::Response { head, body, answer } =
+        sent.map_err(|failure| (failure.into(), failure.completion()))?;
     let shown = Head {
         status: head.status.as_u16(),
         is_event_stream: answer.is_event_stream,
