Allow plain targets the pauses of their route

Cause: `max_silence` works out the allowed silence from the cost model of the engine.

Without a bound on the route nothing is known, and its silence alone is never too long. The second bound, of 1 s for one stream, also gave up streams of routes that allow more; it now follows the route.

Ruled out: a larger slack for all, which would find dead replicas of engines later.

--- a/decision/src/gateway/balance.rs
+++ b/decision/src/gateway/balance.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 mod choose;
 mod observe;
+mod pause;
 mod requirements;
 mod silence;
 pub mod speed;
@@ -20,7 +21,7 @@
 use rand_pcg::rand_core::SeedableRng;
 use slotmap::{SlotMap, new_key_type};
 
-pub use requirements::{Choice, Completion, Forecast, Requirements};
+pub use requirements::{Choice, Completion, Forecast, Patience, Requirements};
 pub use silence::Terms;
 pub use target::{Load, Partition, Target};
 
--- a/decision/src/gateway/balance/observe.rs
+++ b/decision/src/gateway/balance/observe.rs
@@ -16,6 +16,7 @@
     /// Records the time between two events of a stream from a target.
     pub fn record_pass(&mut self, now: Time, key: Key, elapsed: Duration) {
         let Some(state) = self.states.get_mut(key) else { return };
+        state.longest_pause.record(now, elapsed);
         let Some(pool) = self.pools.get_mut(&state.service) else { return };
         let Some(model) = &state.target.model else { return };
         let expected_ms = pool.engine.pass_ms(state.target.time_factor, state.load(now).running);
--- a/decision/src/gateway/balance/requirements.rs
+++ b/decision/src/gateway/balance/requirements.rs
@@ -16,6 +16,8 @@
     pub objective: Duration,
     /// Longest gap between two events of a stream that is on time; absent without such a bound.
     pub max_event_gap: Option<Duration>,
+    /// Time from the request to the first event of an answer that is on time.
+    pub first_event_limit: Duration,
     /// Rank of the request; 0 is the most urgent.
     pub rank: u8,
     /// Targets that must not be chosen, since the request was sent to them before.
@@ -28,6 +30,22 @@
     pub is_resumed: bool,
 }
 
+impl Requirements {
+    /// Returns how long the request's caller can wait for events.
+    pub fn patience(&self) -> Patience {
+        Patience { first_event: self.first_event_limit, event_gap: self.max_event_gap }
+    }
+}
+
+/// How long a caller can wait for the events of an answer that is on time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Patience {
+    /// Time to the first event.
+    pub first_event: Duration,
+    /// Longest gap between two events; absent without such a bound.
+    pub event_gap: Option<Duration>,
+}
+
 /// Result of choosing a target for a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Choice {
--- a/decision/src/gateway/balance/silence.rs
+++ b/decision/src/gateway/balance/silence.rs
@@ -4,7 +4,7 @@
 
 use super::speed::Baseline;
 use super::state::State;
-use super::{Balancer, Key, Pool, tag};
+use super::{Balancer, Key, Patience, Pool, tag};
 use crate::gateway::engine::Engine;
 use crate::prelude::*;
 
@@ -16,15 +16,17 @@
     baseline: Baseline,
     slots: u32,
     time_factor: f64,
+    patience: Patience,
 }
 
 impl Terms {
-    fn new(pool: &Pool, state: &State) -> Terms {
+    fn new(pool: &Pool, state: &State, patience: Patience) -> Terms {
         Terms {
             engine: pool.engine.clone(),
             baseline: pool.baseline_of(state.target.model.as_ref()),
             slots: state.target.slots,
             time_factor: state.target.time_factor,
+            patience,
         }
     }
 
@@ -38,10 +40,10 @@
 
 impl Balancer {
     /// Returns the terms of an attempt that begins at a target now.
-    pub fn terms(&self, key: Key) -> Option<Terms> {
+    pub fn terms(&self, key: Key, patience: Patience) -> Option<Terms> {
         let state = self.states.get(key)?;
         let pool = self.pools.get(&state.service)?;
-        Some(Terms::new(pool, state))
+        Some(Terms::new(pool, state, patience))
     }
 
     /// Returns until when the target may stay silent before it becomes suspect, for an attempt with
@@ -51,20 +53,50 @@
     pub fn silence_deadline(&self, now: Time, key: Key, terms: &Terms) -> Option<Time> {
         let state = self.states.get(key)?;
         let pool = self.pools.get(&state.service)?;
-        let present = Terms::new(pool, state);
-        let mut silence = self.max_silence(now, pool, state, &present);
+        let present = Terms::new(pool, state, terms.patience);
+        let mut silence = self.max_silence(now, pool, state, &present)?;
         if !terms.is_configured_as(&present) {
-            silence = silence.max(self.max_silence(now, pool, state, terms));
+            silence = silence.max(self.max_silence(now, pool, state, terms)?);
         }
         Some(state.last_active_at.max(state.peer_active_at) + silence)
     }
 
-    /// Returns how long a target may stay silent.
+    /// Returns how long a target may stay silent; `None` if nothing bounds it.
+    fn max_silence(
+        &self,
+        now: Time,
+        pool: &Pool,
+        state: &State,
+        terms: &Terms,
+    ) -> Option<Duration> {
+        match state.target.model {
+            Some(_) => Some(self.max_replica_silence(now, pool, state, terms)),
+            None => self.max_plain_silence(now, state, terms.patience),
+        }
+    }
+
+    /// Returns how long a plain target may stay silent. No cost model predicts its pauses, so it has
+    /// as long as its callers are served on time, and as long as it has paused before.
+    fn max_plain_silence(&self, now: Time, state: &State, patience: Patience) -> Option<Duration> {
+        if !state.is_streaming {
+            return Some(patience.first_event + self.settings.first_token_slack);
+        }
+        let shown = state.longest_pause.get(now);
+        Some(patience.event_gap?.max(shown) + self.settings.silence_slack)
+    }
+
+    /// Returns how long a replica may stay silent.
     ///
     /// While it streams, an event comes with each pass. Before its first token, it does the prefill
     /// of all waiting prompts, and the first event takes a whole pass after that.
-    fn max_silence(&self, now: Time, pool: &Pool, state: &State, terms: &Terms) -> Duration {
-        let Terms { engine, baseline, slots, time_factor } = terms;
+    fn max_replica_silence(
+        &self,
+        now: Time,
+        pool: &Pool,
+        state: &State,
+        terms: &Terms,
+    ) -> Duration {
+        let Terms { engine, baseline, slots, time_factor, .. } = terms;
         let load = state.load(now);
         let passes = if state.is_streaming { 1.0 } else { 2.0 };
         let waiting = f64::from(load.running.saturating_sub(*slots));
--- a/decision/src/gateway/balance/state.rs
+++ b/decision/src/gateway/balance/state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::admission::Prospect;
+use super::pause::Pause;
 use super::speed::{self, Baseline, Slowness};
 use super::{Load, Requirements, Settings, Target, hash, tag};
 use crate::gateway::engine::Engine;
@@ -54,6 +55,8 @@
     pub(super) peer_active_at: Time,
     /// Whether an event has come since this entry last sent it work while it was idle.
     pub(super) is_streaming: bool,
+    /// Longest pause between two events of a stream that went on.
+    pub(super) longest_pause: Pause,
     /// Present while the target is suspect.
     pub(super) suspicion: Option<Suspicion>,
     /// Slowness that this entry observed.
@@ -123,6 +126,7 @@
             last_active_at: now,
             peer_active_at: Time::ZERO,
             is_streaming: false,
+            longest_pause: Pause::default(),
             suspicion: None,
             own_slowness: Slowness::default(),
             reported_slowness: Slowness::default(),
--- a/decision/tests/gateway/main.rs
+++ b/decision/tests/gateway/main.rs
@@ -24,6 +24,7 @@
 mod reading;
 mod registration;
 mod route;
+mod silence;
 mod simulation;
 mod spare;
 mod speed;
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -251,7 +251,7 @@
         match balance.choose(now, &self.service.name, requirements) {
             Choice::Send(key, forecast) => {
                 let target = balance.target(key).cloned().ok_or(Denial::NoTarget)?;
-                let terms = balance.terms(key).ok_or(Denial::NoTarget)?;
+                let terms = balance.terms(key, requirements.patience()).ok_or(Denial::NoTarget)?;
                 drop(balance);
                 Ok(Slot::new(
                     self.shared.clone(),
@@ -292,6 +292,7 @@
             prompt_tokens: if self.service.engine.is_some() { self.head.prompt_tokens } else { 0 },
             objective: self.route.objective.saturating_sub(now.since(self.arrived)),
             max_event_gap: self.route.max_event_gap,
+            first_event_limit: self.route.objective,
             rank: self.rank,
             excluded: self.excluded.clone(),
             draw: self.draw,
--- a/gateway/src/silence.rs
+++ b/gateway/src/silence.rs
@@ -8,7 +8,7 @@
 use crate::slot::Slot;
 
 /// Silence of one stream after which it is resumed elsewhere, even if its target sends events of
-/// other streams.
+/// other streams. A route that allows longer pauses has more time.
 const STREAM_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Shortest interval between two checks of a target.
@@ -24,7 +24,7 @@
 pub(crate) fn next_check<P: Platform>(job: &Job<P>, slot: &Slot<P>, last_received: Time) -> Time {
     let now = job.shared.now();
     let target_deadline = job.shared.balance().silence_deadline(now, slot.key, &slot.terms);
-    let stream_deadline = last_received + STREAM_TIMEOUT;
+    let stream_deadline = last_received + stream_timeout(job);
     let soonest = target_deadline.map_or(stream_deadline, |it| it.min(stream_deadline));
     let soonest = soonest.max(now + MIN_CHECK_INTERVAL);
     soonest.min(job.deadline.max(now + MIN_CHECK_INTERVAL))
@@ -54,7 +54,11 @@
         job.shared.fleet_changed.notify_waiters();
         job.shared.targets.close_idle(slot.target.address);
     }
-    is_silent || now.since(last_received) >= STREAM_TIMEOUT
+    is_silent || now.since(last_received) >= stream_timeout(job)
+}
+
+fn stream_timeout<P>(job: &Job<P>) -> Duration {
+    STREAM_TIMEOUT.max(job.route.max_event_gap.unwrap_or_default())
 }
 
 /// Checks the silence of a target that has not responded yet. Only the silence on all its streams
--- a/gateway/src/wait.rs
+++ b/gateway/src/wait.rs
@@ -131,7 +131,10 @@
     });
     let with_targets = dispatched.into_iter().map(|(waiting, outcome)| {
         let target = match &outcome {
-            Outcome::Placed(key, _) => balancer.target(*key).cloned().zip(balancer.terms(*key)),
+            Outcome::Placed(key, _) => {
+                let terms = balancer.terms(*key, waiting.requirements.patience());
+                balancer.target(*key).cloned().zip(terms)
+            }
             Outcome::NoTarget => None,
         };
         (waiting, outcome, target)
