Count a target that was not reached last as no alternative

Cause: `has_alternative` asks whether another target is suspect. A failure makes only replicas of engines suspect, so a plain target that refused every connection counted as one until its registration lapsed, up to 3.6 s later; a replica counted again as soon as it was due for a trial, 0.5 s after it refused one.

Change: an attempt that made no connection ends as `Completion::Unreached`. Such a target takes over nothing until a request to it gets any answer. New requests go there as before, so that it is found again.

Evidence: `a_target_that_was_not_reached_last_takes_nothing_over` fails for refused connections without the condition.

--- a/decision/src/gateway/balance.rs
+++ b/decision/src/gateway/balance.rs
@@ -280,6 +280,7 @@
         if let Some(state) = self.states.get_mut(key) {
             state.last_active_at = now;
             state.is_streaming = true;
+            state.is_reachable = true;
             state.suspicion = None;
         }
     }
@@ -301,19 +302,23 @@
         let sample = match completion {
             Completion::Answered => 0.0,
             Completion::Refused => 0.5,
-            Completion::Failed => 1.0,
+            Completion::Failed | Completion::Unreached => 1.0,
             Completion::Cancelled => state.failure_score,
         };
         state.failure_score =
             state.failure_score * FAILURE_SCORE_DECAY + sample * (1.0 - FAILURE_SCORE_DECAY);
-        if completion == Completion::Answered {
-            state.suspicion = None;
+        match completion {
+            Completion::Answered => {
+                state.suspicion = None;
+                state.is_reachable = true;
+            }
+            Completion::Refused => state.is_reachable = true,
+            Completion::Unreached => state.is_reachable = false,
+            Completion::Failed | Completion::Cancelled => {}
         }
         let is_replica = state.target.model.is_some();
-        if is_replica
-            && matches!(completion, Completion::Failed | Completion::Refused)
-            && state.suspicion.is_none()
-        {
+        let has_failed = !matches!(completion, Completion::Answered | Completion::Cancelled);
+        if is_replica && has_failed && state.suspicion.is_none() {
             state.suspicion = Some(Suspicion { trial_at: now + delay, delay });
         }
         self.remove_if_unused(key);
--- a/decision/src/gateway/balance/choose.rs
+++ b/decision/src/gateway/balance/choose.rs
@@ -88,7 +88,7 @@
     }
 
     /// Returns whether a request to `service` that is at the target `key` could go on at another one
-    /// now.
+    /// now. One that could not be reached last is none.
     pub fn has_alternative(
         &self,
         now: Time,
@@ -100,7 +100,7 @@
         let others = pool.keys.iter().filter(|it| **it != key);
         let others = others.filter(|it| !requirements.excluded.contains(it));
         let is_usable =
-            |it: &State| it.serves(requirements) && it.may_try(now) && !it.is_paused(now);
+            |it: &State| it.serves(requirements) && it.may_take_over(now) && !it.is_paused(now);
         others.filter_map(|it| self.states.get(*it)).any(is_usable)
     }
 
--- a/decision/src/gateway/balance/requirements.rs
+++ b/decision/src/gateway/balance/requirements.rs
@@ -80,8 +80,10 @@
     Answered,
     /// The target refused the request and did not run it.
     Refused,
-    /// The target broke off, was silent, or couldn't be reached.
+    /// The target broke off or was silent.
     Failed,
+    /// No connection to the target was made.
+    Unreached,
     /// The caller left before the attempt ended.
     Cancelled,
 }
--- a/decision/src/gateway/balance/state.rs
+++ b/decision/src/gateway/balance/state.rs
@@ -55,6 +55,8 @@
     pub(super) peer_active_at: Time,
     /// Whether an event has come since this entry last sent it work while it was idle.
     pub(super) is_streaming: bool,
+    /// Whether the last attempt to connect to the target succeeded, or none was made.
+    pub(super) is_reachable: bool,
     /// Longest pause between two events of a stream that went on.
     pub(super) longest_pause: Pause,
     /// Present while the target is suspect.
@@ -126,6 +128,7 @@
             last_active_at: now,
             peer_active_at: Time::ZERO,
             is_streaming: false,
+            is_reachable: true,
             longest_pause: Pause::default(),
             suspicion: None,
             own_slowness: Slowness::default(),
@@ -143,6 +146,12 @@
         self.suspicion.is_none_or(|it| it.trial_at <= now)
     }
 
+    /// Returns whether the target may be sent a request that another one has: it could be reached last,
+    /// and isn't suspect or is due for a trial.
+    pub(super) fn may_take_over(&self, now: Time) -> bool {
+        self.is_reachable && self.may_try(now)
+    }
+
     /// Returns whether the target asked not to be sent requests now.
     pub(super) fn is_paused(&self, now: Time) -> bool {
         self.paused_until.is_some_and(|it| it > now)
--- a/decision/tests/gateway/silence.rs
+++ b/decision/tests/gateway/silence.rs
@@ -1,8 +1,10 @@
-//! How long plain targets may be silent.
+//! How long plain targets may be silent, and which target may take over the work of a silent one.
 
 use std::sync::Arc;
 
-use decision::gateway::balance::{Balancer, Choice, Key, Patience, Requirements, Settings};
+use decision::gateway::balance::{
+    Balancer, Choice, Completion, Key, Patience, Requirements, Settings,
+};
 use decision::prelude::*;
 use rstest::rstest;
 
@@ -18,8 +20,9 @@
     balance
 }
 
-fn send(balance: &mut Balancer) -> Key {
-    match balance.choose(at(0), "plain", &Requirements::default()) {
+fn send(balance: &mut Balancer, excluded: &[Key]) -> Key {
+    let requirements = Requirements { excluded: excluded.to_vec(), ..Requirements::default() };
+    match balance.choose(at(0), "plain", &requirements) {
         Choice::Send(key, _) => key,
         choice => panic!("not sent: {choice:?}"),
     }
@@ -47,7 +50,7 @@
     #[case] expected: Option<Duration>,
 ) {
     let mut balance = plain(&["x"]);
-    let key = send(&mut balance);
+    let key = send(&mut balance, &[]);
     shown.into_iter().for_each(|it| balance.record_pass(at(1_000), key, it));
     balance.record_activity(at(1_000), key);
     assert_eq!(allowed(&balance, key, patience), expected);
@@ -56,7 +59,7 @@
 #[test]
 fn a_pause_that_was_shown_long_ago_counts_no_more() {
     let mut balance = plain(&["x"]);
-    let key = send(&mut balance);
+    let key = send(&mut balance, &[]);
     balance.record_pass(at(1_000), key, ms(700));
     balance.record_activity(at(11_000), key);
     let terms = balance.terms(key, patience()).expect("a target at work");
@@ -67,8 +70,31 @@
 #[test]
 fn a_plain_target_has_the_time_of_its_route_before_the_first_event() {
     let mut balance = plain(&["x"]);
-    let key = send(&mut balance);
+    let key = send(&mut balance, &[]);
     let terms = balance.terms(key, patience()).expect("a target at work");
     assert!(!balance.check_silence(at(400), key, &terms));
     assert!(balance.check_silence(at(600), key, &terms));
 }
+
+/// Guards against streams that are given up for a target that can't be reached.
+#[rstest]
+#[case::refused_connections(Completion::Unreached, false)]
+#[case::broke_off(Completion::Failed, true)]
+#[case::refused_a_request(Completion::Refused, true)]
+fn a_target_that_was_not_reached_last_takes_nothing_over(
+    #[case] completion: Completion,
+    #[case] expected: bool,
+) {
+    let mut balance = plain(&["x", "y"]);
+    let first = send(&mut balance, &[]);
+    let other = send(&mut balance, &[first]);
+    let takes_over = |balance: &Balancer| {
+        balance.has_alternative(at(1), "plain", &Requirements::default(), first)
+    };
+    assert!(takes_over(&balance));
+    balance.finish_attempt(at(1), other, 0, completion);
+    assert_eq!(takes_over(&balance), expected);
+    let other = send(&mut balance, &[first]);
+    balance.finish_attempt(at(1), other, 0, Completion::Answered);
+    assert!(takes_over(&balance));
+}
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -34,6 +34,7 @@
     pub(crate) fn completion(self) -> Completion {
         match self {
             Failure::NotRun(Reason::Refused) => Completion::Refused,
+            Failure::NotRun(Reason::CannotConnect) => Completion::Unreached,
             Failure::NotRun(_) | Failure::Unknown(_) => Completion::Failed,
         }
     }
