Keep a silent stream until another target has answered

Cause: an attempt whose target was silent was ended before the next one began. When that one failed, with a refused connection, no answer, or no attempt or budget left, nothing was left to go back to, although the first target still wrote.

Change: the silent attempt stays while another one is made (`takeover.rs`). It ends once the other target has answered. If the first one sends again, it goes on at the latest when the route's longest pause is over; if the other one fails, it is as it was. The same holds before the response. A target counts as attempted, and is excluded, from the moment at which the request is sent there; one that did not run the request is taken back. `kept` in the log tells that a request stayed, and why. An exchange no longer borrows its request, so that the next attempt can begin beside it.

Why it works: silence doesn't tell a slow target from a lost one. A second attempt costs the same as before, and no longer ends what may still come.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -1,13 +1,13 @@
 //! Requests whose response is read as a whole before it is sent to the caller.
 
-use decision::gateway::balance::{Completion, Key};
+use decision::gateway::balance::Completion;
 use decision::gateway::continuation::Rejection;
 use http::{StatusCode, response};
 use tokio::time::timeout_at;
 
 use crate::body::Answer;
 use crate::content::{self, Content};
-use crate::exchange::{self, Failure, Response};
+use crate::exchange::{Exchange, Failure, Response};
 use crate::port::{Outgoing, Platform};
 use crate::quarantine;
 use crate::reason::Reason;
@@ -37,19 +37,18 @@
             Ok(slot) => slot,
             Err(denial) => return give_up(&job, denial, unknown_status),
         };
-        let (key, target) = (slot.key, slot.target.id.clone());
+        let target = slot.target.id.clone();
         let attempt = send(&mut job, slot).await;
         match attempt {
             Attempt::Answered(head, content, slot) => {
                 let is_error = head.status.is_server_error();
-                if is_error && job.route.is_idempotent() && prepare_retry(&mut job, key) {
+                if is_error && may_retry(&job) {
                     unknown_status = Some(StatusCode::BAD_GATEWAY);
                     continue;
                 }
                 return content::forward(job, slot, &target, *head, content);
             }
             Attempt::NotRun(_) if job.shared.now() < job.deadline => {
-                job.excluded.push(key);
                 if job.excluded.len() > MAX_REFUSALS {
                     return give_up(&job, Denial::NoTarget, unknown_status);
                 }
@@ -60,7 +59,7 @@
                     Reason::NoResponse => StatusCode::GATEWAY_TIMEOUT,
                     _ => StatusCode::BAD_GATEWAY,
                 };
-                if job.route.is_idempotent() && prepare_retry(&mut job, key) {
+                if may_retry(&job) {
                     unknown_status = Some(status);
                     continue;
                 }
@@ -73,12 +72,9 @@
 /// A request that the last target did not run is given up once more targets than this are excluded.
 const MAX_REFUSALS: usize = 3;
 
-/// Excludes the target `key`, which may have run the request, from further attempts, and counts it
-/// as attempted. Returns whether the request may be retried.
-fn prepare_retry<P: Platform>(job: &mut Job<P>, key: Key) -> bool {
-    job.excluded.push(key);
-    job.attempted.push(key);
-    job.may_retry() && job.shared.now() < job.deadline
+/// Returns whether a request that a target may have run may be retried.
+fn may_retry<P: Platform>(job: &Job<P>) -> bool {
+    job.route.is_idempotent() && job.may_retry() && job.shared.now() < job.deadline
 }
 
 /// Ends a request without a further attempt. If an earlier attempt may have run it, the response
@@ -111,20 +107,23 @@
     let shared = job.shared.clone();
     let now = shared.now();
     let is_last =
-        !job.route.is_idempotent() || job.attempted.len() as u32 + 1 >= job.route.max_attempts;
+        !job.route.is_idempotent() || job.attempted.len() as u32 >= job.route.max_attempts;
     let deadline = match is_last {
         true => job.deadline,
         false => (now + job.route.objective * ATTEMPT_TIMEOUT_OBJECTIVES).min(job.deadline),
     };
     let deadline = shared.clock.instant(deadline);
-    let exchange = exchange(job, &slot, request);
-    let attempt = timeout_at(deadline, exchange).await;
+    let context = Exchange::new(job);
+    let attempt = timeout_at(deadline, exchange(&context, &slot, request)).await;
     let (attempt, completion) =
         attempt.unwrap_or((Attempt::Unknown(Reason::NoResponse), Completion::Failed));
-    job.record_arrival(match attempt {
-        Attempt::NotRun(reason) => Some(reason),
-        Attempt::Answered(..) | Attempt::Unknown(_) => None,
-    });
+    job.record_arrival(
+        slot.key,
+        match attempt {
+            Attempt::NotRun(reason) => Some(reason),
+            Attempt::Answered(..) | Attempt::Unknown(_) => None,
+        },
+    );
     match attempt {
         Attempt::Answered(head, content @ Content::Part(_), _) => {
             return Attempt::Answered(head, content, Some(Box::new(slot)));
@@ -141,18 +140,18 @@
 
 /// Sends `request` and reads the response. Also returns how the attempt ended for the target.
 async fn exchange<P: Platform>(
-    job: &Job<P>,
+    context: &Exchange<P>,
     slot: &Slot<P>,
     request: Outgoing,
 ) -> (Attempt<P>, Completion) {
-    let Response { head, body, answer } = match exchange::send(job, slot, request).await {
+    let Response { head, body, answer } = match context.send(slot, request).await {
         Ok(response) => response,
         Err(failure) => return (failure.into(), failure.completion()),
     };
     if head.status.is_success() && !answer.has_stamp {
         return (Attempt::Unknown(Reason::Rejected(Rejection::NoStamp)), Completion::Failed);
     }
-    match content::read(&job.shared.buffer_limiter, body).await {
+    match content::read(&context.shared.buffer_limiter, body).await {
         Some(content) => (Attempt::Answered(Box::new(head), content, None), Completion::Answered),
         None => (Attempt::Unknown(Reason::ResponseBrokeOff), Completion::Failed),
     }
--- a/gateway/src/event.rs
+++ b/gateway/src/event.rs
@@ -44,16 +44,27 @@
     ///
     /// Returns why the stream is not complete.
     pub(crate) fn end(&mut self) -> Result<Bytes, Reason> {
+        self.check_framing()?;
         let rest = Bytes::copy_from_slice(self.splitter.incomplete());
-        if !rest.is_empty() && !self.continuation.is_framed() {
-            return Err(Reason::StreamBrokeOff);
-        }
         let (rest, result) = self.select(&rest);
         result?;
         self.continuation.end().map_err(Reason::Rejected)?;
         Ok(rest)
     }
 
+    /// Returns whether the stream would be complete if the body ended now.
+    pub(crate) fn may_end(&self) -> bool {
+        let has_rest = !self.splitter.incomplete().is_empty();
+        self.check_framing().is_ok() && (has_rest || self.continuation.end().is_ok())
+    }
+
+    fn check_framing(&self) -> Result<(), Reason> {
+        match self.splitter.incomplete().is_empty() || self.continuation.is_framed() {
+            true => Ok(()),
+            false => Err(Reason::StreamBrokeOff),
+        }
+    }
+
     fn select(&mut self, bytes: &Bytes) -> (Bytes, Result<(), Reason>) {
         let (mut start, mut end, mut from) = (0, 0, 0);
         while from < bytes.len() {
--- a/gateway/src/journal.rs
+++ b/gateway/src/journal.rs
@@ -154,6 +154,8 @@
         /// Whether this entry has a share of the slack now.
         has_share: bool,
     },
+    /// A request stays at a target that was silent, as no other one has taken over.
+    Kept { request: &'a str, target: &'a str, reason: &'a str, after_ms: u64 },
     /// A stream continues at another target.
     Resumed { request: &'a str, target: &'a str, last_event: &'a str, after_ms: u64 },
     /// A request got its final response.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -58,6 +58,7 @@
 mod state;
 mod stop;
 mod stream;
+mod takeover;
 mod wait;
 
 pub use error::Error;
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -16,7 +16,7 @@
 
 use crate::body::Answer;
 use crate::journal::{Event, Parts};
-use crate::port::{Envelope, Head, Malformed, Outgoing, Platform};
+use crate::port::{Envelope, Head, Outgoing, Platform};
 use crate::progress::{self, Stage};
 use crate::quarantine;
 use crate::reason::Reason;
@@ -96,9 +96,9 @@
     pub(crate) deadline: Time,
     /// When it was first sent. Absent before.
     pub(crate) sent: Option<Time>,
-    /// Targets that may have run the request.
+    /// Targets that may have run the request, or may do so now.
     pub(crate) attempted: Vec<Key>,
-    /// Targets that the request is not sent to again.
+    /// Targets that the request was sent to. It is not sent there again.
     pub(crate) excluded: Vec<Key>,
     /// Number of times that the request was sent.
     pub(crate) send_count: u32,
@@ -128,14 +128,27 @@
         (self.attempted.len() as u32) < attempts && self.send_count < attempts + EXTRA_SENDS
     }
 
-    /// Returns whether an idempotent request may be sent to one more target if its current target,
-    /// `key`, is silent, and there is one. The current target counts as attempted.
-    pub(crate) fn may_fail_over(&self, key: Key) -> bool {
-        let attempts = self.route.max_attempts.max(1);
-        (self.attempted.len() as u32) + 1 < attempts
-            && self.send_count < attempts + EXTRA_SENDS
+    /// Decides whether the request may be sent to one more target while its current one, `key`, is silent,
+    /// and gets the permit for that.
+    pub(crate) fn begin_takeover(&mut self, key: Key) -> bool {
+        let may_take_over = self.route.is_idempotent()
+            && self.may_retry()
+            && self.shared.now() < self.deadline
             && self.shared.retry_verdict(&self.service.name).granted
-            && self.has_alternative(key)
+            && self.has_alternative(key);
+        if may_take_over {
+            self.may_have_arrived = true;
+            self.permit = self.request_permit();
+        }
+        self.permit.is_some()
+    }
+
+    /// Logs that the request stays at the target of `slot`, and why no other one has taken over.
+    pub(crate) fn record_kept(&mut self, slot: &Slot<P>, reason: &str) {
+        self.permit = None;
+        self.shared.connections.record_sent(self.connection, &slot.target.id);
+        let (request, target, after_ms) = (&*self.head.id, &*slot.target.id, self.waited_ms());
+        self.shared.journal.note(&Event::Kept { request, target, reason, after_ms });
     }
 
     fn has_alternative(&self, key: Key) -> bool {
@@ -328,6 +341,8 @@
     /// Counts and logs that the request is sent to `slot`.
     pub(crate) fn record_sent(&mut self, slot: &Slot<P>) {
         self.send_count += 1;
+        self.attempted.push(slot.key);
+        self.excluded.push(slot.key);
         self.sent.get_or_insert(self.shared.now());
         self.shared.connections.record_sent(self.connection, &slot.target.id);
         self.shared.journal.note(&Event::Sent {
@@ -344,29 +359,13 @@
         });
     }
 
-    /// Applies what the target reports about itself in its response: that it is leaving, or that it
-    /// accepts no requests for some time. Logs reports that are malformed.
-    pub(crate) fn apply_target_state(&self, slot: &Slot<P>, answer: &crate::port::Answer) {
-        let shared = &self.shared;
-        let target = &*slot.target.id;
-        for malformed in [answer.is_leaving.as_ref().err(), answer.pause.as_ref().err()] {
-            let Some(Malformed { what, reason }) = malformed else { continue };
-            shared.journal.note(&Event::Unheeded { target, what, reason });
-        }
-        if answer.is_leaving == Ok(true) {
-            shared.mark_leaving(target, slot.target.incarnation.0);
-        }
-        if let Ok(Some(rest)) = answer.pause {
-            let until = shared.now() + rest;
-            shared.balance().pause(slot.key, until);
-            shared.journal.note(&Event::Resting { target, rest_ms: millis(rest) });
-        }
-    }
-
-    /// Records whether the last attempt may have reached its target, given the reason why the
+    /// Records whether the attempt at the target `key` may have reached it, given the reason why the
     /// target did not run it, if it did not.
-    pub(crate) fn record_arrival(&mut self, not_run: Option<Reason>) {
+    pub(crate) fn record_arrival(&mut self, key: Key, not_run: Option<Reason>) {
         self.may_have_arrived |= !not_run.is_some_and(Reason::is_unsent);
+        if not_run.is_some() {
+            self.attempted.retain(|it| *it != key);
+        }
     }
 
     /// Logs that an attempt failed. `ran` tells whether the target ran it: `no` or `unknown`.
