Keep only what the first answer after an outage misses

Cause: for 2.5 s from its first answer after an outage, an entry kept every instance whose removal it read, also one that the store had made after it was back. Entries that don't own the replicas noticed the end of that time up to 0.5 s late.

Change: the time to come back belongs to the first answer after the outage. What later answers tell holds at once. The time is 2 s, as the platform states, each instance has its own, and its end is a timer. When the instances were lost is one fact of the entry (`Knowledge::fleet_lost_at`), so that a list, the owner's own list and a peer's reply count as the first answer as a watch does; a list had dropped at once what had expired. A peer's reply is as old as its instances, as its configuration may be back first.

Ruled out: a shorter grace alone. It would still keep removals of a store that is back, and drop replicas that have up to 2 s.

--- a/decision/src/gateway/fleet.rs
+++ b/decision/src/gateway/fleet.rs
@@ -134,10 +134,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     instances: BTreeMap<Arc<str>, Listed>,
-    /// Until when removed list entries are kept, since they may come back after an outage.
-    grace_until: Time,
-    /// Instances whose list entries were removed during that time.
-    missing: HashSet<Arc<str>>,
+    /// Until when instances are kept whose list entries turn out to be removed. Present while it is read
+    /// what changed during an outage.
+    grace_until: Option<Time>,
+    /// Instances whose list entries were removed during an outage, each with the time until which it
+    /// may come back.
+    missing: HashMap<Arc<str>, Time>,
     /// Failure domains that are out of service.
     evacuated: HashSet<Arc<str>>,
     /// Instances that reported that they drain, each with its incarnation and the time of the
@@ -216,10 +218,13 @@
                 self.departed.remove(&id);
                 self.instances.insert(id, Listed { instance: Arc::new(instance), seen: now });
             }
-            Change::Gone(id) if now < self.grace_until => {
-                self.missing.insert(id);
-            }
-            Change::Gone(id) => self.remove(now, &id),
+            Change::Gone(id) => match self.grace_until {
+                Some(until) => drop(self.missing.entry(id).or_insert(until)),
+                None => {
+                    self.missing.remove(&id);
+                    self.remove(now, &id);
+                }
+            },
         }
     }
 
@@ -274,22 +279,31 @@
         self.change_count += 1;
     }
 
-    /// Records that the list can be read again after an outage. Instances whose list entries
-    /// expired during the outage have `grace` to come back.
+    /// Records that the list can be read again after an outage, before what changed meanwhile is
+    /// applied. Instances whose list entries were removed during the outage may have expired, and have
+    /// `grace` to come back.
     pub fn start_grace(&mut self, now: Time, grace: Duration) {
-        self.grace_until = now + grace;
+        self.grace_until = Some(now + grace);
+    }
+
+    /// Records that all that changed during an outage was applied. Later removals were made by a
+    /// store that was back, so that they hold at once.
+    pub fn end_grace(&mut self) {
+        self.grace_until = None;
+    }
+
+    /// Returns when the next instance that didn't come back is to be removed, if there is one.
+    pub fn next_expiry(&self) -> Option<Time> {
+        self.missing.values().min().copied()
     }
 
-    /// Removes the instances that didn't come back within the grace period. Returns whether there
-    /// were any.
+    /// Removes the instances that didn't come back in their time. Returns whether there were any.
     pub fn expire_missing(&mut self, now: Time) -> bool {
-        if now < self.grace_until || self.missing.is_empty() {
-            return false;
-        }
-        self.change_count += 1;
-        let missing = std::mem::take(&mut self.missing);
-        missing.iter().for_each(|id| self.remove(now, id));
-        true
+        let expired = self.missing.extract_if(|_, until| *until <= now);
+        let expired: Vec<Arc<str>> = expired.map(|(id, _)| id).collect();
+        expired.iter().for_each(|id| self.remove(now, id));
+        self.change_count += u64::from(!expired.is_empty());
+        !expired.is_empty()
     }
 
     /// Replaces the set of failure domains that are out of service.
--- a/decision/tests/gateway/fleet.rs
+++ b/decision/tests/gateway/fleet.rs
@@ -1,6 +1,7 @@
 use decision::gateway::config::Service;
 use decision::gateway::fleet::{Change, Fleet, Instance, Member, Phase, Presence, Report, State};
 use decision::prelude::*;
+use rstest::rstest;
 
 use crate::support::{at, engine, instance, ms};
 
@@ -85,10 +86,43 @@
     fleet.start_grace(at(5_000), ms(2_500));
     fleet.apply(at(5_100), Change::Gone("head".into()));
     assert_eq!(serving_count(&fleet), 1);
+    assert_eq!(fleet.next_expiry(), Some(at(7_500)));
     assert!(!fleet.expire_missing(at(7_400)));
     assert_eq!(serving_count(&fleet), 1);
     assert!(fleet.expire_missing(at(7_600)));
     assert_eq!(serving_count(&fleet), 0);
+    assert_eq!(fleet.next_expiry(), None);
+}
+
+/// Guards against targets that are used although their removal was read after an outage (review/8).
+#[rstest]
+#[case::not_missed_in_the_outage(false)]
+#[case::removed_again_after_its_return(true)]
+fn a_removal_after_an_outage_holds_at_once(#[case] is_missed_before: bool) {
+    let mut fleet = replica();
+    fleet.start_grace(at(5_000), ms(2_500));
+    if is_missed_before {
+        fleet.apply(at(5_000), Change::Gone("head".into()));
+        fleet.apply(at(5_200), Change::Put(member("head", 0, State::Open)));
+    }
+    fleet.end_grace();
+    fleet.apply(at(5_300), Change::Gone("head".into()));
+    assert_eq!(serving_count(&fleet), 0);
+    assert_eq!(fleet.next_expiry(), None);
+}
+
+#[test]
+fn each_outage_has_its_own_time_to_come_back() {
+    let mut fleet = replica();
+    fleet.start_grace(at(5_000), ms(2_000));
+    fleet.apply(at(5_000), Change::Gone("head".into()));
+    fleet.end_grace();
+    fleet.start_grace(at(6_500), ms(2_000));
+    fleet.apply(at(6_500), Change::Gone("one".into()));
+    fleet.end_grace();
+    assert!(fleet.expire_missing(at(7_000)));
+    assert_eq!(serving_count(&fleet), 0);
+    assert_eq!(fleet.next_expiry(), Some(at(8_500)));
 }
 
 #[test]
@@ -96,6 +130,7 @@
     let mut fleet = replica();
     fleet.start_grace(at(5_000), ms(2_500));
     fleet.apply(at(5_100), Change::Gone("head".into()));
+    fleet.end_grace();
     fleet.apply(at(6_000), Change::Put(member("head", 0, State::Open)));
     assert!(!fleet.expire_missing(at(7_600)));
     assert_eq!(serving_count(&fleet), 1);
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -317,7 +317,7 @@
 async fn maintain<P: Platform>(shared: Arc<Shared<P>>) {
     let mut reported = Counts::new();
     loop {
-        sleep(MAINTENANCE_INTERVAL).await;
+        sleep(maintenance_delay(&shared)).await;
         shared.expire_targets();
         apply::expire_holds(&shared);
         shared.report_replica_counts(&mut reported);
@@ -326,3 +326,10 @@
         shared.targets.retain(|it| addresses.contains(&it));
     }
 }
+
+/// Returns the time until the next maintenance: an interval, or less if an instance expires before.
+fn maintenance_delay<P>(shared: &Shared<P>) -> Duration {
+    let expiry = shared.knowledge().fleet.next_expiry();
+    let remaining = expiry.map(|it| it.since(shared.now()));
+    remaining.map_or(MAINTENANCE_INTERVAL, |it| it.min(MAINTENANCE_INTERVAL))
+}
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -52,8 +52,8 @@
 const FIRST_START_DELAY: Duration = Duration::from_millis(500);
 
 /// Time that instances have to register again after an outage of the store in which their records
-/// may have expired.
-const EXPIRED_RECORD_GRACE: Duration = Duration::from_millis(2_500);
+/// may have expired. The platform states it.
+const EXPIRED_RECORD_GRACE: Duration = Duration::from_secs(2);
 
 /// Length of an outage of the store after which records may have expired.
 const RECORD_EXPIRY_OUTAGE: Duration = Duration::from_millis(1_000);
@@ -276,7 +276,9 @@
                     } else {
                         wait_end
                     };
-                    apply::changes(&self.shared, self.kind, era, confirmed_at, &changes);
+                    after_outage(&self.shared, self.kind, || {
+                        apply::changes(&self.shared, self.kind, era, confirmed_at, &changes);
+                    });
                     if has_changes {
                         sleep(self.watch_delay()).await;
                     }
@@ -357,6 +359,10 @@
             self.shared.journal.note(&event);
         }
         let outcome = error.outcome();
+        if self.kind == Kind::Instances && outcome != Some(Outcome::Untaken) {
+            let now = self.shared.now();
+            self.shared.knowledge().fleet_lost_at.get_or_insert(now);
+        }
         outcome.into_iter().for_each(|it| self.reading.record(it));
         if self.kind == Kind::Config {
             let is_untaken = outcome == Some(Outcome::Untaken);
@@ -428,19 +434,26 @@
         let after_ms = u64::try_from(outage.as_millis()).unwrap_or(u64::MAX);
         let event = Event::Regained { dependency: "store", kind: self.kind, after_ms };
         self.shared.journal.note(&event);
-        if self.kind == Kind::Instances {
-            note_store_recovery(&self.shared, outage);
-        }
     }
 }
 
-/// Notes that the instances can be read again after an outage of length `outage`. After a long one,
-/// instances that are missing from the list are kept for a while.
-pub(crate) fn note_store_recovery<P>(shared: &Shared<P>, outage: Duration) {
-    if outage > RECORD_EXPIRY_OUTAGE {
-        let now = shared.now();
-        shared.knowledge().fleet.start_grace(now, EXPIRED_RECORD_GRACE);
+/// Runs `apply`, which applies an answer of the store about `kind`. If the instances could not be read
+/// for long, those that this answer no longer lists are kept for a while, as their records may have
+/// expired. What later answers say holds at once.
+pub(crate) fn after_outage<P>(shared: &Shared<P>, kind: Kind, apply: impl FnOnce()) {
+    if kind != Kind::Instances {
+        return apply();
+    }
+    let now = shared.now();
+    {
+        let mut knowledge = shared.knowledge();
+        let lost_at = knowledge.fleet_lost_at.take();
+        if lost_at.is_some_and(|it| now.since(it) > RECORD_EXPIRY_OUTAGE) {
+            knowledge.fleet.start_grace(now, EXPIRED_RECORD_GRACE);
+        }
     }
+    apply();
+    shared.knowledge().fleet.end_grace();
 }
 
 /// Waits until the store is unreachable. The follower that finds this out itself waits for ever.
--- a/gateway/src/follow/list.rs
+++ b/gateway/src/follow/list.rs
@@ -8,7 +8,7 @@
 use http::StatusCode;
 
 use super::cursor::Cursor;
-use super::{CALL_TIMEOUT_MARGIN, Error, announce_era, call_store};
+use super::{CALL_TIMEOUT_MARGIN, Error, after_outage, announce_era, call_store};
 use crate::apply;
 use crate::journal::Event;
 use crate::port::{Changes, Kind, Object, Platform};
@@ -58,7 +58,9 @@
         announce_era(shared, from, to, "revision");
         version.era = to;
     }
-    apply::list(shared, kind, version, requested_at, &items);
+    after_outage(shared, kind, || {
+        apply::list(shared, kind, version, requested_at, &items);
+    });
     Ok(version)
 }
 
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -80,8 +80,8 @@
     /// Updates of the kinds of which the peer lacks something.
     #[serde(rename = "news")]
     updates: Vec<Update>,
-    /// Time since the configuration was last known to be up to date, in milliseconds. It holds for
-    /// all kinds, since a lost connection to the store affects all of them.
+    /// Time since the configuration and the instances were last known to be up to date, in
+    /// milliseconds. It holds for all kinds, since a lost connection to the store affects all of them.
     age_ms: u32,
     /// Time for which the query was held, in milliseconds.
     held_ms: u32,
@@ -250,19 +250,21 @@
     }
     if !shared.is_store_up() {
         let confirmed_at = shared.mirror().confirmed_at(Kind::Config);
-        let outage = confirmed_at.map(|it| shared.now().since(it));
-        follow::note_store_recovery(shared, outage.unwrap_or_default());
+        let mut knowledge = shared.knowledge();
+        knowledge.fleet_lost_at = confirmed_at.or(knowledge.fleet_lost_at);
     }
     // The peer replied after it had held the query, at the earliest at `sent_at` plus that time,
     // and its objects were up to date `age` before its reply.
     let confirmed_at = (sent_at + Duration::from_millis(u64::from(reply.held_ms))).back(age);
     for Update { kind, list, changes } in reply.updates {
         let version = Version { era: reply_era, revision: changes.revision };
-        match list {
+        follow::after_outage(shared, kind, || match list {
             Some(items) => apply::list(shared, kind, version, confirmed_at, &items),
             None => apply::changes(shared, kind, reply_era, confirmed_at, &changes),
-        }
+        });
     }
+    // A reply without the instances says that they are the known ones.
+    shared.knowledge().fleet_lost_at = None;
     Ok(())
 }
 
--- a/gateway/src/relay/serve.rs
+++ b/gateway/src/relay/serve.rs
@@ -147,8 +147,8 @@
 /// Returns the reply to `query`, or `None` while this entry has no configuration.
 fn reply<P>(shared: &Shared<P>, era: Era, query: &Query, received_at: Time) -> Option<Reply> {
     let now = shared.now();
+    let confirmed_at = confirmed_at(shared)?;
     let mirror = shared.mirror();
-    let confirmed_at = mirror.confirmed_at(Kind::Config)?;
     let mut updates = Vec::new();
     for (kind, since) in query.since(era) {
         let Some(update) = mirror.update_since(kind, since) else { continue };
@@ -191,8 +191,15 @@
 /// Returns whether the mirror was confirmed recently enough for a peer to accept its updates.
 fn is_fresh<P>(shared: &Shared<P>) -> bool {
     let max_age = shared.settings().bounds.max_relay_age();
-    let confirmed_at = shared.mirror().confirmed_at(Kind::Config);
-    confirmed_at.is_some_and(|it| shared.now().since(it) < max_age)
+    confirmed_at(shared).is_some_and(|it| shared.now().since(it) < max_age)
+}
+
+/// Returns when the configuration and the instances were last known to be up to date. After an outage,
+/// the configuration may be read first.
+fn confirmed_at<P>(shared: &Shared<P>) -> Option<Time> {
+    let config = shared.mirror().confirmed_at(Kind::Config)?;
+    let lost_at = shared.knowledge().fleet_lost_at;
+    Some(lost_at.map_or(config, |it| it.min(config)))
 }
 
 /// Returns whether the mirror has an update for the peer.
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -104,6 +104,8 @@
     pub(crate) fleet: Fleet,
     /// When the last request was sent whose response confirmed the list of instances.
     pub(crate) fleet_confirmed_at: Option<Time>,
+    /// Since when the store doesn't answer about the instances; `None` while it does.
+    pub(crate) fleet_lost_at: Option<Time>,
     /// When the instances were first listed.
     pub(crate) fleet_listed_at: Option<Time>,
     /// Entries by name.
