Let open connections follow the limits of the configuration

Cause: the library bounds the buffer for heads, their lines and the idle time of a connection as it is set up. The bounds were those of that moment, or the defaults before the first configuration.

Change: when the limits change, the library's part of a connection is ended without closing it and set up anew, with what had been read ahead (`rewind.rs`). An idle connection, or one with a part of a head, goes on as if nothing had happened; a request at work is answered before. Without a configuration, heads of up to 256 KiB are read, to be answered 503.

Ruled out: one large buffer for all connections, which 4,100 idle callers could fill with 16 times the memory; closing idle connections, where requests cross the close; counting bytes below the library, which can't answer 431 there.

--- a/decision/src/gateway/config.rs
+++ b/decision/src/gateway/config.rs
@@ -78,7 +78,7 @@
 }
 
 /// Limits on what callers may send.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// Largest request head, in bytes.
     pub head_bytes: usize,
--- a/gateway/src/apply.rs
+++ b/gateway/src/apply.rs
@@ -163,6 +163,8 @@
     // From here on, only requests keep the services that were dropped.
     drop(former);
     drop(knowledge);
+    let limits = Some(table.limits());
+    shared.limits.send_if_modified(|it| std::mem::replace(it, limits) != limits);
     shared.journal.note(&Event::Configured {
         version: config.version,
         era,
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -1,13 +1,14 @@
 //! Listener for callers: accepts HTTP/1.1 requests within the limits of the configuration.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
-use decision::gateway::config::Kind;
+use bytes::{Bytes, BytesMut};
+use decision::gateway::config::{Kind, Limits};
 use http::{Request, Response, StatusCode, Version, header};
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
@@ -29,6 +30,7 @@
 use crate::request::{
     ENTRY_ENDS, Job, MIN_RETRY_AFTER, STOP_COUNTER, millis, remove_hop_by_hop, target_uri,
 };
+use crate::rewind::Rewind;
 use crate::routing;
 use crate::state::Shared;
 use crate::{call, stream};
@@ -49,6 +51,15 @@
 /// large gets a response.
 const HEAD_MARGIN_BYTES: usize = 8_192;
 
+/// Limits while there is no configuration. Heads may be larger than configurations usually allow, so
+/// that none is refused for good that the first one allows.
+const UNCONFIGURED_LIMITS: Limits = Limits {
+    head_bytes: 256 << 10,
+    body_bytes: 0,
+    head_timeout: Duration::from_secs(15),
+    idle_timeout: Duration::from_secs(15),
+};
+
 /// Smallest number of bytes of a header line: a name of one, a colon and the end of the line.
 const MIN_HEADER_LINE_BYTES: usize = 4;
 
@@ -81,6 +92,17 @@
     }
 }
 
+/// What happens to a connection.
+enum ConnectionEvent {
+    Ended(hyper::Result<()>),
+    /// The entry stops.
+    Stop,
+    /// Another configuration bounds what its caller may send.
+    LimitsChanged,
+}
+
+/// Serves a connection until it ends. When the limits change, it goes on by the new ones, after the
+/// request that has begun to arrive, if there is one.
 async fn handle_connection<P: Platform>(
     guard: ConnectionGuard<P>,
     stream: TcpStream,
@@ -89,41 +111,65 @@
     let (shared, key) = (&guard.shared, guard.key);
     // A failure only adds latency to small responses.
     let _result = stream.set_nodelay(true);
-    let limits = shared.knowledge().table.limits();
     let ends_with_connection = AtomicBool::new(false);
     let service = service_fn(|request: Request<Incoming>| {
         ends_with_connection.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
         let shared = shared.clone();
-        async move { Ok::<_, Infallible>(respond(&shared, key, request).await) }
+        Box::pin(async move { Ok::<_, Infallible>(respond(&shared, key, request).await) })
     });
-    let mut connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout)
-        .max_buf_size(limits.head_bytes + HEAD_MARGIN_BYTES)
-        .max_headers(max_header_lines(limits.head_bytes))
-        .serve_connection(TokioIo::new(stream), service);
-    let ended = tokio::select! {
-        result = &mut connection => Some(result),
-        _ = stop.wait_for(|it| *it) => None,
-    };
-    let result = match ended {
-        Some(result) => result,
-        None => {
-            // An idle connection ends at once. Others end once the request that has begun to arrive
-            // is answered and the caller has been sent the last byte, or with the process.
-            Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
+    let mut limits = shared.limits.subscribe();
+    let mut io = Rewind::new(Bytes::new(), stream);
+    loop {
+        let bounds = limits.borrow_and_update().unwrap_or(UNCONFIGURED_LIMITS);
+        let mut connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(bounds.idle_timeout)
+            .max_buf_size(bounds.head_bytes.saturating_add(HEAD_MARGIN_BYTES))
+            .max_headers(max_header_lines(bounds.head_bytes))
+            .serve_connection(TokioIo::new(io), &service);
+        let event = tokio::select! {
+            result = &mut connection => ConnectionEvent::Ended(result),
+            _ = stop.wait_for(|it| *it) => ConnectionEvent::Stop,
+            _ = limits.changed() => ConnectionEvent::LimitsChanged,
+        };
+        let result = match event {
+            ConnectionEvent::Ended(result) => result,
+            ConnectionEvent::LimitsChanged => {
+                // Ends the library's part in the connection, and leaves the connection open.
+                Pin::new(&mut connection).graceful_shutdown();
+                let result = poll_fn(|it| connection.poll_without_shutdown(it)).await;
+                if result.is_ok() && !*stop.borrow() {
+                    io = rewind(connection.into_parts());
+                    continue;
+                }
+                result
+            }
+            ConnectionEvent::Stop => {
+                // An idle connection ends at once. Others end once the request that has begun to
+                // arrive is answered and the caller has been sent the last byte, or with the process.
+                Pin::new(&mut connection).graceful_shutdown();
+                (&mut connection).await
+            }
+        };
+        // The requests on the connection report how it ends. Without chunks, only a reset shows the
+        // caller that its stream is truncated.
+        let is_truncated = result.is_err_and(|it| it.is_user());
+        if is_truncated && ends_with_connection.load(Ordering::Relaxed) {
+            // A failure means that the connection is closed already.
+            let _result = connection.into_parts().io.inner().inner().set_zero_linger();
         }
-    };
-    // The requests on the connection report how it ends. Without chunks, only a reset shows the
-    // caller that its stream is truncated.
-    let is_truncated = result.is_err_and(|it| it.is_user());
-    if is_truncated && ends_with_connection.load(Ordering::Relaxed) {
-        // A failure means that the connection is closed already.
-        let _result = connection.into_parts().io.inner().set_zero_linger();
+        return;
     }
 }
 
+/// Returns the connection of which the library has read ahead.
+fn rewind<S>(parts: http1::Parts<TokioIo<Rewind<TcpStream>>, S>) -> Rewind<TcpStream> {
+    let (unread, stream) = parts.io.into_inner().into_parts();
+    let mut read_ahead = BytesMut::from(parts.read_buf);
+    read_ahead.extend_from_slice(&unread);
+    Rewind::new(read_ahead.freeze(), stream)
+}
+
 /// Returns how many header lines a head of at most `head_bytes` bytes may have.
 fn max_header_lines(head_bytes: usize) -> usize {
     (head_bytes / MIN_HEADER_LINE_BYTES).min(MAX_HEADER_LINES)
@@ -206,7 +252,7 @@
 ) -> Response<Answer> {
     let arrived_at = shared.now();
     let (mut parts, body) = request.into_parts();
-    let limits = shared.knowledge().table.limits();
+    let limits = shared.limits.borrow().unwrap_or(UNCONFIGURED_LIMITS);
     let head_bytes: usize =
         parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
     if head_bytes + parts.uri.path().len() > limits.head_bytes {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod relay;
 mod request;
 mod retry;
+pub mod rewind;
 mod routing;
 pub mod settings;
 mod silence;
--- a/gateway/src/state.rs
+++ b/gateway/src/state.rs
@@ -6,6 +6,7 @@
 
 use arc_swap::ArcSwap;
 use decision::gateway::balance::{self, Balancer, Target};
+use decision::gateway::config::Limits;
 use decision::gateway::era::Era;
 use decision::gateway::exchange::{self, Rank};
 use decision::gateway::fleet::{self, Fleet};
@@ -74,6 +75,8 @@
     pub(crate) stop: Stop,
     /// Notified when the objects that peers can read here have changed.
     pub(crate) mirror_changed: Notify,
+    /// Limits of callers' requests by the configuration in force; `None` without one.
+    pub(crate) limits: watch::Sender<Option<Limits>>,
     /// The known era of the store; changes when the store was restored from an older copy.
     pub(crate) era: watch::Sender<Era>,
     /// Whether the last response of the store stated its era.
@@ -166,6 +169,7 @@
             peers: Peers::default(),
             stop: Stop::default(),
             mirror_changed: Notify::new(),
+            limits: watch::Sender::new(None),
             era: watch::Sender::new(Era::default()),
             is_era_stated: AtomicBool::new(false),
             is_informed: AtomicBool::new(false),
