Register an entry anew when its cores change

After a reload with other `cores`, peers went on to rank the entry by the cores of its start, for reading the store, as a hub and as the owner.

Cause: the registration was worked out once, as the process starts, and compared with itself.

Change: it is worked out from the settings in force whenever it is compared or written. `instance` and `failure_domain` of a running process stay as they are, as `listen` does: its peers know it by them.

Evidence: `cores_that_change_are_registered_anew` fails without the change, after 20 s; with it, it passes.

--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -154,7 +154,13 @@
     pub fn reload(&self, path: &Path, reason: Reload) {
         let before = self.shared.settings();
         let settings = Settings::read(path);
-        let settings = settings.map(|it| Settings { listen: before.listen, ..it });
+        // A process keeps the name and the addresses by which its peers know it.
+        let settings = settings.map(|it| Settings {
+            listen: before.listen,
+            instance: before.instance.clone(),
+            failure_domain: before.failure_domain.clone(),
+            ..it
+        });
         let error = settings.as_ref().err().map(ToString::to_string).unwrap_or_default();
         let changed = settings.as_ref().is_ok_and(|it| *it != *before);
         if changed || reason == Reload::Requested {
@@ -233,23 +239,27 @@
 }
 
 /// Keeps this entry registered in the store, so that peers find it. A restored store may have lost
-/// the registration; it is then written again.
+/// the registration, and other settings may contradict it; it is then written again.
 async fn register<P: Platform>(shared: Arc<Shared<P>>) {
-    let settings = shared.settings();
-    let name = settings.instance.as_str();
-    let entry = Entry {
-        address: settings.listen.peers,
-        failure_domain: settings.failure_domain.clone(),
-        millicores: settings.millicores(),
-    };
-    let Ok(value) = serde_json::to_value(&entry) else { return };
     loop {
+        let settings = shared.settings();
+        let name = settings.instance.as_str();
+        let Ok(value) = serde_json::to_value(registration(&settings)) else { return };
         write_registration(&shared, name, &value).await;
-        wait_until_lost(&shared, name, &entry).await;
+        wait_until_lost(&shared, name).await;
         shared.journal.note(&Event::Unregistered { era: shared.era() });
     }
 }
 
+/// Returns what an entry with these settings registers.
+fn registration(settings: &Settings) -> Entry {
+    Entry {
+        address: settings.listen.peers,
+        failure_domain: settings.failure_domain.clone(),
+        millicores: settings.millicores(),
+    }
+}
+
 /// Writes the registration. Retries until that succeeds.
 async fn write_registration<P: Platform>(shared: &Shared<P>, name: &str, value: &Value) {
     let store = shared.settings().store;
@@ -293,12 +303,12 @@
 
 /// Waits until the list of entries lacks this one or shows it with other values, for as long as a
 /// reader may lag behind.
-async fn wait_until_lost<P: Platform>(shared: &Shared<P>, name: &str, entry: &Entry) {
+async fn wait_until_lost<P: Platform>(shared: &Shared<P>, name: &str) {
     let mut lost_since = None;
     loop {
         sleep(REGISTER_CHECK_INTERVAL).await;
         let is_stored = match shared.mirror().stored(Kind::Entries, name).map(|it| &it.object) {
-            Some(Object::Entry(stored)) => stored == entry,
+            Some(Object::Entry(stored)) => *stored == registration(&shared.settings()),
             _ => false,
         };
         if is_stored || !shared.is_store_up() {
