--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -210,6 +210,49 @@
     reader.continuation.resume_point().map(drop).map_err(Rejection::name)
 }
 
+/// Checks the silence of a stream at the time `check`, not before `earliest_check`, which it sets for the
+/// next time. If it has lasted too long, another target may take over. Returns the next frame if one has
+/// come meanwhile.
+///
+/// # Errors
+///
+/// If the deadline has passed, another target has taken over, or both failed.
+async fn check_silence<P: Platform>(
+    job: &mut Job<P>,
+    upstream: &mut Upstream<P>,
+    reader: &Reader,
+    last_received: Time,
+    (check, earliest_check): (Time, &mut Time),
+) -> Result<Option<Received>, Interruption<P>> {
+    let now = job.shared.now();
+    if now >= job.deadline {
+        return Err(Reason::DeadlinePassed.into());
+    }
+    let grace = silence::late_timer_grace(now, check);
+    if let Some(until) = grace.filter(|_| *earliest_check <= last_received) {
+        *earliest_check = until;
+        return Ok(None);
+    }
+    if !job.route.is_idempotent() || !silence::check(job, &upstream.slot, last_received) {
+        return Ok(None);
+    }
+    // Without another target, this one may still go on: check again later.
+    *earliest_check = silence::next_doubt(job);
+    if check_resumable(job, reader).is_err() || !job.begin_takeover(upstream.slot.key) {
+        return Ok(None);
+    }
+    take_over(job, upstream, reader, last_received).await
+}
+
+/// Sends what is left of a body that has ended, if the stream is complete with it.
+async fn finish_body<P>(reader: &mut Reader, sender: &Sender) -> Result<(), Interruption<P>> {
+    let rest = reader.end()?;
+    if !rest.is_empty() {
+        sender.send(rest).await.map_err(|Disconnected| Reason::CallerLeft)?;
+    }
+    Ok(())
+}
+
 /// Lets another target take over a stream whose target is silent. Returns the next frame of the silent
 /// one if that goes on; `None` if it is still silent and has to be kept.
 ///
@@ -272,42 +315,14 @@
             () = sleep_until(shared.clock.instant(check)) => None,
         };
         let received = match received {
-            Some(received) => received,
+            Some(received) => Some(received),
             None => {
-                let now = shared.now();
-                if now >= job.deadline {
-                    return Err(Reason::DeadlinePassed.into());
-                }
-                if let Some(until) = silence::late_timer_grace(now, check)
-                    .filter(|_| earliest_check <= last_received)
-                {
-                    earliest_check = until;
-                    continue;
-                }
-                let is_silent =
-                    job.route.is_idempotent() && silence::check(job, &upstream.slot, last_received);
-                if !is_silent {
-                    continue;
-                }
-                // Without another target, this one may still go on: check again later.
-                earliest_check = silence::next_doubt(job);
-                if check_resumable(job, reader).is_err() || !job.begin_takeover(upstream.slot.key) {
-                    continue;
-                }
-                match take_over(job, upstream, reader, last_received).await? {
-                    Some(received) => received,
-                    None => continue,
-                }
-            }
-        };
-        let Some(frame) = received else {
-            let rest = reader.end()?;
-            if rest.is_empty() {
-                return Ok(());
+                let checks = (check, &mut earliest_check);
+                check_silence(job, upstream, reader, last_received, checks).await?
             }
-            sender.send(rest).await.map_err(|Disconnected| Reason::CallerLeft)?;
-            return Ok(());
         };
+        let Some(received) = received else { continue };
+        let Some(frame) = received else { return finish_body(reader, sender).await };
         let frame = frame.map_err(|_| Reason::StreamBrokeOff)?;
         // Trailers follow a complete body, and concern the target's connection alone.
         let Ok(data) = frame.into_data() else { continue };
--- a/gateway/src/stream/open.rs
+++ b/gateway/src/stream/open.rs
@@ -145,6 +145,17 @@
     }
 }
 
+/// Records that an attempt begins now. Returns its exchange, its request and the time.
+fn begin<P: Platform>(
+    job: &mut Job<P>,
+    slot: &Slot<P>,
+    reader: &Reader,
+) -> (Exchange<P>, Outgoing, Time) {
+    let request = job.outgoing(slot, reader.continuation.last_id().cloned());
+    job.record_sent(slot);
+    (Exchange::new(job), request, job.shared.now())
+}
+
 /// Makes one attempt to open the stream, and logs its failure. If the target is silent, another one
 /// may take over.
 async fn attempt<P: Platform>(
@@ -152,10 +163,7 @@
     slot: Slot<P>,
     reader: &Reader,
 ) -> Result<Upstream<P>, Failure> {
-    let request = job.outgoing(&slot, reader.continuation.last_id().cloned());
-    job.record_sent(&slot);
-    let context = Exchange::new(job);
-    let begun = job.shared.now();
+    let (context, request, begun) = begin(job, &slot, reader);
     let result = {
         let exchange = exchange(&context, &slot, reader, request);
         tokio::pin!(exchange);
@@ -197,10 +205,7 @@
     slot: Slot<P>,
     reader: &Reader,
 ) -> Result<Upstream<P>, Failure> {
-    let request = job.outgoing(&slot, reader.continuation.last_id().cloned());
-    job.record_sent(&slot);
-    let context = Exchange::new(job);
-    let begun = job.shared.now();
+    let (context, request, begun) = begin(job, &slot, reader);
     let result = {
         let exchange = exchange(&context, &slot, reader, request);
         tokio::pin!(exchange);
