Say of a call that may have run that this is unknown

A call at a slow target was sent to another one; the first connection broke, then the other target refused: the caller got 503, which promises that the request has not run.

Change: a denial is told only if no target may have run the request, which the job knows, as for streams; else the caller gets 502. A permit that an earlier decision left counts for no takeover.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -33,7 +33,7 @@
 
 /// Why no target responds.
 enum End {
-    /// No target is available, and none may have run the request.
+    /// No target is available. One that was asked before may have run the request.
     Denied(Denial),
     /// Targets may have run the request. The last one, if it is known, and the status for the caller.
     Unknown(Arc<str>, StatusCode),
@@ -58,14 +58,22 @@
         Ok(Found { target, head, content, slot }) => {
             content::forward(job, slot, &target, *head, content)
         }
-        Err(End::Denied(denial)) => job.deny(denial),
-        Err(End::Unknown(target, status)) => {
-            job.record_end(&target, status, "unknown", Times::default());
-            Refusal::new(status, "the attempt failed").response()
-        }
+        Err(End::Denied(denial)) if job.attempted.is_empty() => job.deny(denial),
+        Err(End::Denied(_)) => fail_unknown(&job, "", StatusCode::BAD_GATEWAY),
+        Err(End::Unknown(target, status)) => fail_unknown(&job, &target, status),
     }
 }
 
+/// Logs and returns a failure of a request that a target may have run.
+fn fail_unknown<P: Platform>(
+    job: &Job<P>,
+    target: &str,
+    status: StatusCode,
+) -> http::Response<Answer> {
+    job.record_end(target, status, "unknown", Times::default());
+    Refusal::new(status, "the attempt failed").response()
+}
+
 /// Makes attempts until one has a response or none is left. A target that is slow is kept until
 /// another one has responded.
 async fn ask<P: Platform>(job: &mut Job<P>) -> Result<Found<P>, End> {
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -136,10 +136,11 @@
             && self.shared.now() < self.deadline
             && self.shared.retry_verdict(&self.service.name).granted
             && self.has_alternative(key);
-        if may_take_over {
-            self.may_have_arrived = true;
-            self.permit = self.request_permit();
+        if !may_take_over {
+            return false;
         }
+        self.may_have_arrived = true;
+        self.permit = self.request_permit();
         self.permit.is_some()
     }
 
