Let the other target answer when a silent one fails

While a second target was asked, the first one answered with a failure of its own: the caller got that at once, and the second target's answer, which would have been a success, was dropped.

Change: a failure of the first target ends only its own attempt. The other one goes on; if it fails too, the caller gets the answer of the first. A redirect or an error of the caller's (below 500) of a call is its answer, as before.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -192,8 +192,14 @@
     match result {
         Ok(result) => finish(job, slot, result),
         Err((failure, result)) => {
-            let _logged = finish(job, slot, failure.unwrap_or_else(no_response));
-            Attempt::Replaced(result)
+            let target = slot.target.id.clone();
+            match (finish(job, slot, failure.unwrap_or_else(no_response)), result) {
+                // The failure of a target is an answer for the caller.
+                (Attempt::Answered(head, content, slot), Err(_)) => {
+                    Attempt::Replaced(Ok(Found { target, head, content, slot }))
+                }
+                (_, result) => Attempt::Replaced(result),
+            }
         }
     }
 }
@@ -223,7 +229,9 @@
 /// Tells what the result of an attempt at a slow target means.
 fn sign<P>(context: &Exchange<P>, attempt: &Attempt<P>) -> Sign {
     match attempt {
-        Attempt::Answered(..) => Sign::GoesOn(context.shared.clock.instant(context.shared.now())),
+        Attempt::Answered(head, ..) if !head.status.is_server_error() => {
+            Sign::GoesOn(context.shared.clock.instant(context.shared.now()))
+        }
         _ => Sign::Failed,
     }
 }
--- a/gateway/src/stream/open.rs
+++ b/gateway/src/stream/open.rs
@@ -180,6 +180,8 @@
                     break Ok(result);
                 }
                 Race::TakenOver(failure, upstream) => break Err((failure, Ok(upstream))),
+                // The failure of a target is an answer for the caller.
+                Race::Lost(failure @ Err((Failure::Answered(..), _)), _) => break Ok(failure),
                 Race::Lost(failure, error) => break Err((Some(failure), Err(error))),
                 Race::Alone(error @ OpenError::Answered(..)) => break Err((None, Err(error))),
                 Race::Alone(error) => {
@@ -251,9 +253,7 @@
 /// Tells what the response of a silent target means for the attempt there.
 fn sign<P>(context: &Exchange<P>, result: &Opened) -> Sign {
     match result {
-        Ok(_) | Err((Failure::Answered(..), _)) => {
-            Sign::GoesOn(context.shared.clock.instant(context.shared.now()))
-        }
+        Ok(_) => Sign::GoesOn(context.shared.clock.instant(context.shared.now())),
         Err(_) => Sign::Failed,
     }
 }
