End a connection whose limits changed under a request

Found by reading the change of limits again. As the limits changed while a request was at work, its answer said `connection: close`, and the entry kept the connection open: a caller that waits for its end, as one of HTTP/1.0 or that asked for it, hung until the idle time.

Change: only a connection that the library ends at once, as it is idle, goes on by the new limits. One with a request at work is answered and ended.

Evidence: the three cases of `a_connection_at_work_ends_after_the_limits_have_changed` fail without the change, after 20 s, and pass with it.

--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -5,11 +5,12 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use decision::gateway::config::{Kind, Limits};
-use http::{Request, Response, StatusCode, Version, header};
+use http::{HeaderMap, Request, Response, StatusCode, Version, header};
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
@@ -101,8 +102,8 @@
     LimitsChanged,
 }
 
-/// Serves a connection until it ends. When the limits change, it goes on by the new ones, after the
-/// request that has begun to arrive, if there is one.
+/// Serves a connection until it ends. When the limits change, an idle one goes on by the new ones, and
+/// one with a request at work ends after its answer.
 async fn handle_connection<P: Platform>(
     guard: ConnectionGuard<P>,
     stream: TcpStream,
@@ -112,8 +113,11 @@
     // A failure only adds latency to small responses.
     let _result = stream.set_nodelay(true);
     let ends_with_connection = AtomicBool::new(false);
+    let ends_after_answer = AtomicBool::new(false);
     let service = service_fn(|request: Request<Incoming>| {
-        ends_with_connection.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
+        let is_old = request.version() < Version::HTTP_11;
+        ends_with_connection.store(is_old, Ordering::Relaxed);
+        ends_after_answer.store(is_old || asks_for_end(request.headers()), Ordering::Relaxed);
         let shared = shared.clone();
         Box::pin(async move { Ok::<_, Infallible>(respond(&shared, key, request).await) })
     });
@@ -135,14 +139,19 @@
         let result = match event {
             ConnectionEvent::Ended(result) => result,
             ConnectionEvent::LimitsChanged => {
-                // Ends the library's part in the connection, and leaves the connection open.
                 Pin::new(&mut connection).graceful_shutdown();
-                let result = poll_fn(|it| connection.poll_without_shutdown(it)).await;
-                if result.is_ok() && !*stop.borrow() {
-                    io = rewind(connection.into_parts());
-                    continue;
+                // Ends the library's part in an idle connection at once, and leaves that open.
+                let ended = poll_fn(|it| Poll::Ready(connection.poll_without_shutdown(it))).await;
+                let is_to_end = *stop.borrow() || ends_after_answer.load(Ordering::Relaxed);
+                match ended {
+                    Poll::Ready(Ok(())) if !is_to_end => {
+                        io = rewind(connection.into_parts());
+                        continue;
+                    }
+                    Poll::Ready(result) => result,
+                    // The answer of a request at work says that the connection ends after it.
+                    Poll::Pending => (&mut connection).await,
                 }
-                result
             }
             ConnectionEvent::Stop => {
                 // An idle connection ends at once. Others end once the request that has begun to
@@ -162,6 +171,12 @@
     }
 }
 
+/// Returns whether a caller asks for the end of its connection after the answer.
+fn asks_for_end(headers: &HeaderMap) -> bool {
+    let values = headers.get_all(header::CONNECTION).into_iter().filter_map(|it| it.to_str().ok());
+    values.flat_map(|it| it.split(',')).any(|it| it.trim().eq_ignore_ascii_case("close"))
+}
+
 /// Returns the connection of which the library has read ahead.
 fn rewind<S>(parts: http1::Parts<TokioIo<Rewind<TcpStream>>, S>) -> Rewind<TcpStream> {
     let (unread, stream) = parts.io.into_inner().into_parts();
