--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -5,8 +5,10 @@
 mod http;
 mod json;
 mod lost_answer;
+mod lost_evacuation;
 mod record;
 mod replica;
+mod scene;
 mod store;
 
 use std::process::ExitCode;
@@ -31,6 +33,7 @@
     let record = Arc::new(Record::new());
     record.note(format!("case {case}, with its disruption: {has_trouble}"));
     let outcome = match case.as_str() {
+        "lost-evacuation" => lost_evacuation::play(&record, has_trouble),
         "lost-answer" => lost_answer::play(&record, has_trouble),
         _ => Outcome::NotRun("there is no such case".into()),
     };
