--- a/review/standin-3/src/entry.rs
+++ b/review/standin-3/src/entry.rs
@@ -25,13 +25,20 @@
 }
 
 impl Entry {
-    /// Starts an entry with its settings in `folder`, where its log goes too.
-    pub fn start(name: &str, zone: &str, store: SocketAddr, folder: &Path) -> Entry {
+    /// Starts an entry with its settings in `folder`, where its log goes too. `first_start` is set when
+    /// the whole system starts for the first time.
+    pub fn start(
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        first_start: bool,
+        folder: &Path,
+    ) -> Entry {
         let [callers, ready, peers, metrics] = [(); 4].map(|()| free_address());
         let settings = format!(
             "{{\"instance\":\"{name}\",\"failure_domain\":\"{zone}\",\"listen\":{{\"callers\":\"{callers}\",\
              \"ready\":\"{ready}\",\"peers\":\"{peers}\",\"metrics\":\"{metrics}\"}},\"store\":\"{store}\",\
-             \"cores\":0.25,\"memory_mb\":260,\"first_start\":true,\"bounds\":{BOUNDS}}}"
+             \"cores\":0.25,\"memory_mb\":260,\"first_start\":{first_start},\"bounds\":{BOUNDS}}}"
         );
         let path = folder.join(format!("{name}.json"));
         fs::write(&path, settings).expect("a writable folder");
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -1,9 +1,11 @@
 //! Plays one case of the review: `standin-3 CASE RECORD`. Exits with 1 if the rule was broken, 0 if it
 //! held, and 2 if the case could not run. With TROUBLE=0 it leaves the disruption out.
 
+mod cold_share;
 mod entry;
 mod http;
 mod json;
+mod link;
 mod lost_answer;
 mod lost_evacuation;
 mod record;
@@ -33,6 +35,7 @@
     let record = Arc::new(Record::new());
     record.note(format!("case {case}, with its disruption: {has_trouble}"));
     let outcome = match case.as_str() {
+        "cold-share" => cold_share::play(&record, has_trouble),
         "lost-evacuation" => lost_evacuation::play(&record, has_trouble),
         "lost-answer" => lost_answer::play(&record, has_trouble),
         _ => Outcome::NotRun("there is no such case".into()),
--- a/review/standin-3/src/replica.rs
+++ b/review/standin-3/src/replica.rs
@@ -28,6 +28,8 @@
     work: Duration,
     born: u128,
     record: Arc<Record>,
+    /// Requests in one second above which it crashes, and until when.
+    endurance: (usize, Instant),
     has_exited: AtomicBool,
     runs: Mutex<Vec<Run>>,
     channels: Mutex<Vec<TcpStream>>,
@@ -40,6 +42,19 @@
         zone: &str,
         work: Duration,
         record: &Arc<Record>,
+    ) -> Arc<Replica> {
+        Replica::start_frail(id, service, zone, work, (usize::MAX, Duration::ZERO), record)
+    }
+
+    /// Starts a replica that crashes if more requests than `endurance` reach it in one second while
+    /// it is cold, for the time that comes with it.
+    pub fn start_frail(
+        id: &str,
+        service: &str,
+        zone: &str,
+        work: Duration,
+        (endurance, cold): (usize, Duration),
+        record: &Arc<Record>,
     ) -> Arc<Replica> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
@@ -54,6 +69,7 @@
                 .expect("a time after 1970")
                 .as_millis(),
             record: record.clone(),
+            endurance: (endurance, Instant::now() + cold),
             has_exited: AtomicBool::new(false),
             runs: Mutex::default(),
             channels: Mutex::default(),
@@ -76,9 +92,18 @@
 
     /// What the replica writes to the store about itself.
     pub fn spec(&self, phase: &str, seq: u64) -> String {
+        self.spec_with(phase, seq, 0)
+    }
+
+    /// What the replica writes as it starts and is cold for `warmup_ms`.
+    pub fn cold_spec(&self, warmup_ms: u64) -> String {
+        self.spec_with("ready", 1, warmup_ms)
+    }
+
+    fn spec_with(&self, phase: &str, seq: u64, warmup_ms: u64) -> String {
         format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":6,\
-             \"phase\":\"{phase}\",\"warmup_left_ms\":0,\"seq\":{seq},\"born\":{}}}",
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":26,\
+             \"phase\":\"{phase}\",\"warmup_left_ms\":{warmup_ms},\"seq\":{seq},\"born\":{}}}",
             self.service, self.address, self.zone, self.born
         )
     }
@@ -162,8 +187,18 @@
     fn begin(&self, request: &str) -> usize {
         self.record.note(format!("{}: begins to run {request}", self.id));
         let mut runs = self.runs.lock().expect("no panic while it was held");
-        runs.push(Run { request: request.into(), arrived: Instant::now(), ended: None });
-        runs.len() - 1
+        let now = Instant::now();
+        runs.push(Run { request: request.into(), arrived: now, ended: None });
+        let index = runs.len() - 1;
+        let recent = runs.iter().rev().take_while(|it| now - it.arrived < Duration::from_secs(1));
+        let (endurance, until) = self.endurance;
+        let is_overrun = now < until && recent.count() > endurance;
+        drop(runs);
+        if is_overrun && !self.has_exited() {
+            self.record.note(format!("{}: crashes", self.id));
+            self.exit();
+        }
+        index
     }
 }
 
--- a/review/standin-3/src/scene.rs
+++ b/review/standin-3/src/scene.rs
@@ -42,8 +42,10 @@
         replicas.iter().for_each(|it| it.register(&store));
         let names = ["entry-1", "entry-2"];
         let path: &Path = &folder.0;
-        let entries: Vec<Entry> =
-            names.iter().map(|name| Entry::start(name, "zone-1", store.address, path)).collect();
+        let entries: Vec<Entry> = names
+            .iter()
+            .map(|name| Entry::start(name, "zone-1", store.address, true, path))
+            .collect();
         if !entries.iter().all(|it| it.wait_until_ready(Duration::from_secs(20))) {
             return Err("an entry is not ready".into());
         }
