--- a/review/standin-3/src/cold_share.rs
+++ b/review/standin-3/src/cold_share.rs
@@ -53,7 +53,7 @@
     former.exit();
     store.remove("servers", &former.id);
     thread::sleep(Duration::from_secs(1));
-    let cold = Replica::start_frail("i-b", "app", "zone-1", WORK, (ENDURANCE, WARMUP), record);
+    let cold = Replica::start_with("i-b", ("app", "zone-1"), WORK, 26, (ENDURANCE, WARMUP), record);
     let warmup_ms = u64::try_from(WARMUP.as_millis()).unwrap_or_default();
     let began = store.put("servers", &cold.id, &cold.cold_spec(warmup_ms));
     record.note("i-b: the store has acknowledged that it is ready, and cold for 3 s");
--- a/review/standin-3/src/entry.rs
+++ b/review/standin-3/src/entry.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -99,12 +100,15 @@
     }
 }
 
-/// Returns a loopback address that is free for TCP and UDP.
+/// Returns a loopback address that is free for TCP and UDP. Its port lies below those that the system
+/// gives to outgoing channels, one of which could take it before the entry does.
 fn free_address() -> SocketAddr {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        if UdpSocket::bind(address).is_ok() {
+        let count = COUNT.fetch_add(1, Ordering::Relaxed);
+        let port = 12_000 + (std::process::id() * 61 + count) % 18_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], u16::try_from(port).unwrap_or(12_000)));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
--- a/review/standin-3/src/replica.rs
+++ b/review/standin-3/src/replica.rs
@@ -25,6 +25,8 @@
     pub address: SocketAddr,
     service: String,
     zone: String,
+    /// Requests that it says it runs at once.
+    slots: u32,
     work: Duration,
     born: u128,
     record: Arc<Record>,
@@ -43,16 +45,16 @@
         work: Duration,
         record: &Arc<Record>,
     ) -> Arc<Replica> {
-        Replica::start_frail(id, service, zone, work, (usize::MAX, Duration::ZERO), record)
+        Replica::start_with(id, (service, zone), work, 6, (usize::MAX, Duration::ZERO), record)
     }
 
-    /// Starts a replica that crashes if more requests than `endurance` reach it in one second while
-    /// it is cold, for the time that comes with it.
-    pub fn start_frail(
+    /// Starts a replica with `slots` that crashes if more requests than `endurance` reach it in one
+    /// second while it is cold, for the time that comes with it.
+    pub fn start_with(
         id: &str,
-        service: &str,
-        zone: &str,
+        (service, zone): (&str, &str),
         work: Duration,
+        slots: u32,
         (endurance, cold): (usize, Duration),
         record: &Arc<Record>,
     ) -> Arc<Replica> {
@@ -63,6 +65,7 @@
             address,
             service: service.into(),
             zone: zone.into(),
+            slots,
             work,
             born: SystemTime::now()
                 .duration_since(UNIX_EPOCH)
@@ -102,9 +105,9 @@
 
     fn spec_with(&self, phase: &str, seq: u64, warmup_ms: u64) -> String {
         format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":26,\
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\
              \"phase\":\"{phase}\",\"warmup_left_ms\":{warmup_ms},\"seq\":{seq},\"born\":{}}}",
-            self.service, self.address, self.zone, self.born
+            self.service, self.address, self.zone, self.slots, self.born
         )
     }
 
