Let the cases of the third review end as judged whoever reads their output

A play whose output was cut short by its reader ended with 101 after it had judged. Nobody has to read what is printed now.

--- a/review/standin-3/src/cold_share.rs
+++ b/review/standin-3/src/cold_share.rs
@@ -95,8 +95,7 @@
         record.seconds(most.2),
         most.1
     );
-    println!("{text}");
-    record.note(text);
+    record.say(text);
     match most.0 > BOUND {
         true => Outcome::Broken,
         false => Outcome::Held,
--- a/review/standin-3/src/lost_evacuation.rs
+++ b/review/standin-3/src/lost_evacuation.rs
@@ -55,8 +55,7 @@
         emptied.id,
         attempts.len()
     );
-    println!("{text}");
-    record.note(text);
+    record.say(text);
     match late.is_empty() {
         true => Outcome::Held,
         false => Outcome::Broken,
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -45,8 +45,7 @@
         Outcome::Held => (0, "the rule held".to_owned()),
         Outcome::NotRun(reason) => (2, format!("the case could not run: {reason}")),
     };
-    println!("{text}");
-    record.note(text);
+    record.say(text);
     record.save(path);
     ExitCode::from(code)
 }
--- a/review/standin-3/src/record.rs
+++ b/review/standin-3/src/record.rs
@@ -20,6 +20,13 @@
         self.lines.lock().expect("no panic while it was held").push((at, line.into()));
     }
 
+    /// Notes a line, and prints it. Nobody has to read what is printed.
+    pub fn say(&self, line: impl Into<String>) {
+        let line = line.into();
+        let _result = writeln!(std::io::stdout(), "{line}");
+        self.note(line);
+    }
+
     /// Seconds since the start of the case.
     pub fn seconds(&self, at: Instant) -> f64 {
         at.saturating_duration_since(self.start).as_secs_f64()
